--- /dev/null
+++ b/aggregator/core/codec.go
@@ -0,0 +1,55 @@
+package core
+
+import (
+	"dandelionstile/share/clock"
+	"dandelionstile/share/gate"
+	"dandelionstile/share/query"
+	"dandelionstile/share/wire"
+)
+
+func updateReplyTo(id uint64, o query.Outcome) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_UpdateReply{UpdateReply: &wire.UpdateReply{
+		Id: id, Kind: uint32(o.Kind), Reason: string(o.Reason), RetryAfterMs: uint32(o.RetryAfter),
+		Body: o.Body, Strikes: uint32(o.Strikes),
+	}}}
+}
+
+func agesTo(list []gate.ServerAges) []*wire.ServerAges {
+	out := make([]*wire.ServerAges, len(list))
+	for i, s := range list {
+		out[i] = &wire.ServerAges{Server: s.Server}
+		for _, l := range s.Leafs {
+			out[i].Leafs = append(out[i].Leafs, &wire.LeafAge{Leaf: l.Leaf, AgeMs: uint32(l.Age), Known: l.Known})
+		}
+	}
+	return out
+}
+
+func agesFrom(list []*wire.ServerAges) []gate.ServerAges {
+	out := make([]gate.ServerAges, len(list))
+	for i, s := range list {
+		out[i] = gate.ServerAges{Server: s.GetServer()}
+		for _, l := range s.GetLeafs() {
+			out[i].Leafs = append(out[i].Leafs, gate.LeafAge{
+				Leaf: l.GetLeaf(), Age: clock.Milli(l.GetAgeMs()), Known: l.GetKnown(),
+			})
+		}
+	}
+	return out
+}
+
+func claimTo(a gate.Claim) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Claim{Claim: &wire.Claim{Id: a.ID, Servers: agesTo(a.Servers)}}}
+}
+
+func claimFrom(w *wire.Claim) (uint64, []gate.ServerAges) { return w.GetId(), agesFrom(w.GetServers()) }
+
+func grantTo(a gate.Grant) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Grant{Grant: &wire.Grant{
+		Claim: a.ID, Servers: agesTo(a.Servers), SpanMs: uint32(a.Span),
+	}}}
+}
+
+func grantFrom(w *wire.Grant) (uint64, []gate.ServerAges, clock.Milli) {
+	return w.GetClaim(), agesFrom(w.GetServers()), clock.Milli(w.GetSpanMs())
+}
--- /dev/null
+++ b/aggregator/core/core.go
@@ -0,0 +1,458 @@
+// Package core is the aggregator's control loop: it joins the gate's decisions
+// with the links to entries and the connections to leafs.
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
+
+	"dandelionstile/aggregator/leafs"
+	"dandelionstile/share/clock"
+	"dandelionstile/share/fetch"
+	"dandelionstile/share/gate"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/mesh"
+	"dandelionstile/share/meter"
+	"dandelionstile/share/node"
+	"dandelionstile/share/place"
+	"dandelionstile/share/poison"
+	"dandelionstile/share/query"
+	"dandelionstile/share/spans"
+	"dandelionstile/share/wire"
+)
+
+// Timing of the loop and of leaving.
+const (
+	tickEvery = 5 * time.Millisecond
+	// leaveNotice is how long the peers get to hear that this process leaves,
+	// while it still takes calls.
+	leaveNotice = 500 * time.Millisecond
+	// leaveMost bounds the wait for calls under way.
+	leaveMost = 10 * time.Second
+)
+
+// Core is a running aggregator. Fields are set before Start.
+type Core struct {
+	Settings node.Settings
+	Log      zerolog.Logger
+	Meter    *meter.Meter
+	Tracer   *spans.Tracer
+
+	loop  node.Loop[any]
+	node  node.Node
+	gate  gate.Engine
+	pool  leafs.Pool
+	http  fetch.Engine
+	links map[uint64]*mesh.Link
+	peers map[string]*mesh.Link // aggregators by host
+	addrs map[string]string     // leaf -> address
+	jobs  map[gate.Key]*open
+}
+
+// open is a call that an entry waits for.
+type open struct {
+	update  bool
+	service string
+	span    spans.Span
+}
+
+// Messages of the control loop besides the node's and the pool's.
+type (
+	tick   struct{}
+	leave  struct{ done chan struct{} }
+	refuse struct{}
+	show   struct{ reply chan Shown }
+)
+
+// Start links up and begins to serve.
+func (c *Core) Start() error {
+	c.links = map[uint64]*mesh.Link{}
+	c.peers = map[string]*mesh.Link{}
+	c.addrs = map[string]string{}
+	c.jobs = map[gate.Key]*open{}
+	c.loop.Clock = clock.Wall{}
+	c.http.Source = c.Settings.Listen.IP()
+	if err := c.http.Start(); err != nil {
+		return err
+	}
+	c.pool = leafs.Pool{
+		HTTP: &c.http, Clock: clock.Wall{}, Tracer: c.Tracer,
+		Report: func(m any) { c.loop.Post(m) },
+	}
+	c.gate = gate.Engine{Self: c.Settings.Host.Name, Domain: c.Settings.Host.Domain}
+	c.node = node.Node{
+		Settings: c.Settings, Program: node.Aggregator, Incarnation: node.NewIncarnation(), Log: c.Log,
+		Owner: owner{c}, HTTP: &c.http, Post: func(m node.Message) bool { return c.loop.Post(m) },
+	}
+	c.loop.Start(c.handle)
+	if err := c.node.Start(); err != nil {
+		return err
+	}
+	c.loop.Every(tickEvery, tick{})
+	return nil
+}
+
+func (c *Core) handle(now clock.Milli, m any) {
+	switch m := m.(type) {
+	case node.Message:
+		c.node.Handle(now, m)
+	case leafs.Finished:
+		if m.Result.ConnLost || m.Result.NotOpened {
+			c.pool.Shut(m.Result.Conn)
+		}
+		c.act(now, c.gate.Done(now, m.Result))
+	case leafs.Probed:
+		c.act(now, c.gate.Probed(now, m.Leaf, m.Conn, m.Sign, m.Err))
+	case tick:
+		c.tick(now)
+	case leave:
+		c.node.Leave(now)
+		close(m.done)
+	case refuse:
+		c.gate.Leave()
+	case show:
+		m.reply <- c.shown(now)
+	}
+}
+
+func (c *Core) tick(now clock.Milli) {
+	c.node.Handle(now, node.Tick{})
+	out, paused := c.gate.Tick(now)
+	if paused {
+		c.Log.Warn().Msg("process was paused; new work waits until the configuration is confirmed")
+		c.node.Confirm(now)
+	}
+	c.act(now, out)
+}
+
+// act carries out the gate's decisions.
+func (c *Core) act(now clock.Milli, actions []gate.Action) {
+	replies := map[uint64]*wire.Outcomes{}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case gate.Send:
+			c.pool.Send(c.addrs[a.Leaf], a)
+		case gate.Probe:
+			c.pool.Probe(c.addrs[a.Leaf], a)
+		case gate.Abort:
+			c.pool.Abort(c.addrs[a.Leaf], a)
+		case gate.Shut:
+			c.pool.Shut(a.Conn)
+		case gate.Reply:
+			c.reply(a, replies)
+		case gate.Publish:
+			c.publish(a.Feedback)
+		case gate.Claim:
+			c.sendTo(a.Host, claimTo(a))
+		case gate.Grant:
+			c.sendTo(a.Host, grantTo(a))
+		case gate.Struck:
+			c.Log.Warn().Uint64("fingerprint", a.Strike.Fingerprint).Int("count", a.Strike.Count).
+				Msg("request crashed a backend server")
+			c.node.Share(now, a.Strike, nil)
+		case gate.Note:
+			c.Log.Info().Str("leaf", a.Leaf).Str("cause", a.Cause).Msg(a.Event)
+			c.Meter.Count("leaf_events", 1, meter.Label{Name: "event", Value: a.Event}, meter.Label{Name: "cause", Value: a.Cause})
+		}
+	}
+	for id, out := range replies {
+		if l := c.links[id]; l != nil {
+			c.send(l, &wire.Envelope{Body: &wire.Envelope_Outcomes{Outcomes: out}})
+		}
+	}
+}
+
+// reply gathers outcomes by link; updates are answered one by one.
+func (c *Core) reply(a gate.Reply, replies map[uint64]*wire.Outcomes) {
+	j := c.jobs[a.Key]
+	delete(c.jobs, a.Key)
+	if j == nil {
+		j = &open{}
+	}
+	c.Meter.Count("leaf_calls", 1,
+		meter.Label{Name: "service", Value: j.service},
+		meter.Label{Name: "outcome", Value: a.Outcome.Kind.String()},
+		meter.Label{Name: "reason", Value: string(a.Outcome.Reason)})
+	j.span.Set(attribute.String("outcome", a.Outcome.Kind.String()), attribute.String("reason", string(a.Outcome.Reason)))
+	j.span.End()
+	if j.update {
+		if l := c.links[a.Key.Link]; l != nil {
+			c.send(l, updateReplyTo(a.Key.ID, a.Outcome))
+		}
+		return
+	}
+	out := replies[a.Key.Link]
+	if out == nil {
+		out = &wire.Outcomes{}
+		replies[a.Key.Link] = out
+	}
+	out.Outcomes = append(out.Outcomes, wire.OutcomeTo(a.Outcome))
+}
+
+func (c *Core) publish(fb query.Feedback) {
+	m := &wire.Envelope{Body: &wire.Envelope_Outcomes{Outcomes: &wire.Outcomes{
+		Feedback: []*wire.Feedback{wire.FeedbackTo(fb)},
+	}}}
+	for _, l := range c.links {
+		if l.Peer.GetProgram() == node.Entry {
+			c.send(l, m)
+		}
+	}
+}
+
+// send queues a message. A peer that takes messages too slowly loses its link:
+// it would otherwise wait for outcomes that it never gets.
+func (c *Core) send(l *mesh.Link, m *wire.Envelope) {
+	if !c.node.Send(l, m) {
+		l.Fail(mesh.ErrBusy)
+	}
+}
+
+func (c *Core) sendTo(host string, m *wire.Envelope) {
+	if l := c.peers[host]; l != nil {
+		c.node.Send(l, m)
+	}
+}
+
+// Shown is an aggregator's state as operators see it.
+type Shown struct {
+	Node    node.Shown    `json:"node"`
+	Leafs   []ShownLeaf   `json:"leafs"`
+	Strikes []ShownStrike `json:"quarantine"`
+}
+
+// ShownLeaf is one leaf's state.
+type ShownLeaf struct {
+	Leaf      string `json:"leaf"`
+	Server    string `json:"server"`
+	Service   string `json:"service"`
+	Primary   bool   `json:"primary"`
+	Exclusive bool   `json:"exclusive"`
+	Busy      int    `json:"busy"`
+	Queued    int    `json:"queued"`
+	Limit     int    `json:"limit"`
+	Slots     int    `json:"slots"`
+	Conns     int    `json:"connections"`
+	RampLeft  int64  `json:"ramp-left-ms"`
+	Closed    string `json:"closed"`
+}
+
+// ShownStrike is a request that is refused.
+type ShownStrike struct {
+	Fingerprint string `json:"fingerprint"`
+	Count       int    `json:"count"`
+	Left        int64  `json:"left-ms"`
+}
+
+func (c *Core) shown(now clock.Milli) Shown {
+	s := Shown{Node: c.node.Show(now), Leafs: []ShownLeaf{}, Strikes: []ShownStrike{}}
+	for _, l := range c.gate.State(now) {
+		s.Leafs = append(s.Leafs, ShownLeaf{
+			Leaf: l.Leaf, Server: l.Server, Service: l.Service, Primary: l.Primary, Exclusive: l.Exclusive,
+			Busy: l.Busy, Queued: l.Queued, Limit: l.Limit, Slots: l.Slots, Conns: l.Conns,
+			RampLeft: int64(l.RampLeft), Closed: string(l.Closed),
+		})
+	}
+	for _, k := range c.gate.Strikes(now) {
+		s.Strikes = append(s.Strikes, ShownStrike{
+			Fingerprint: fmt.Sprintf("%016x", k.Fingerprint), Count: k.Count, Left: int64(k.Left),
+		})
+	}
+	return s
+}
+
+// Show returns the state, or false when the loop has ended.
+func (c *Core) Show() (Shown, bool) {
+	ask := show{reply: make(chan Shown, 1)}
+	if !c.loop.Post(ask) {
+		return Shown{}, false
+	}
+	select {
+	case s := <-ask.reply:
+		return s, true
+	case <-time.After(time.Second):
+		return Shown{}, false
+	}
+}
+
+// Leave hands the leafs over: it tells the peers, keeps serving until they have
+// heard, then takes nothing new and waits for what is under way.
+func (c *Core) Leave() {
+	m := leave{done: make(chan struct{})}
+	if c.loop.Post(m) {
+		<-m.done
+	}
+	time.Sleep(leaveNotice)
+	c.loop.Post(refuse{})
+	end := time.Now().Add(leaveMost)
+	for time.Now().Before(end) {
+		s, ok := c.Show()
+		if !ok || idle(s) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func idle(s Shown) bool {
+	for _, l := range s.Leafs {
+		if l.Busy > 0 || l.Queued > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends everything that Start began, and waits.
+func (c *Core) Close() error {
+	err := c.pool.Close()
+	if e := c.http.Close(); err == nil {
+		err = e
+	}
+	if e := c.node.Close(); err == nil {
+		err = e
+	}
+	if e := c.loop.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// owner is what the node tells its program; see node.Program.
+type owner struct{ c *Core }
+
+func (o owner) Configure(now clock.Milli, cfg *invent.Config, hosts []invent.Host) {
+	c := o.c
+	clear(c.addrs)
+	for _, s := range cfg.Inventory.Servers {
+		for _, l := range s.Leafs {
+			c.addrs[l.Name] = s.Address
+		}
+	}
+	c.act(now, c.gate.Configure(now, cfg, hosts))
+}
+
+func (o owner) LinkUp(now clock.Milli, l *mesh.Link) {
+	c := o.c
+	c.links[l.ID] = l
+	switch l.Peer.GetProgram() {
+	case node.Aggregator:
+		c.peers[l.Peer.GetHost()] = l
+	case node.Entry:
+		out := &wire.Outcomes{}
+		for _, fb := range c.gate.Feedback(now) {
+			out.Feedback = append(out.Feedback, wire.FeedbackTo(fb))
+		}
+		c.send(l, &wire.Envelope{Body: &wire.Envelope_Outcomes{Outcomes: out}})
+	}
+}
+
+func (o owner) LinkDown(now clock.Milli, l *mesh.Link, _ error) {
+	c := o.c
+	delete(c.links, l.ID)
+	if c.peers[l.Peer.GetHost()] == l {
+		delete(c.peers, l.Peer.GetHost())
+		for _, other := range c.links {
+			if other.Peer.GetProgram() == node.Aggregator && other.Peer.GetHost() == l.Peer.GetHost() {
+				c.peers[l.Peer.GetHost()] = other
+			}
+		}
+	}
+	c.act(now, c.gate.LinkGone(now, l.ID))
+}
+
+func (o owner) RTT(clock.Milli, *mesh.Link, time.Duration) {}
+
+func (o owner) Leaving(now clock.Milli, l *mesh.Link, leaving bool) {
+	if leaving && l.Peer.GetProgram() == node.Aggregator {
+		o.c.gate.HostLeaving(now, l.Peer.GetHost())
+	}
+}
+
+func (o owner) Strike(now clock.Milli, s poison.Strike) bool {
+	news, out := o.c.gate.Strike(now, s)
+	o.c.act(now, out)
+	return news
+}
+
+func (o owner) Confirmed(clock.Milli) { o.c.gate.Unfence() }
+
+// Bounds of Dials.
+const (
+	// smallFleet is how many hosts all link to all others.
+	smallFleet = 16
+	// neighbours is how many aggregators of the own failure domain are linked
+	// in a larger fleet, and farNeighbours how many of others.
+	neighbours    = 3
+	farNeighbours = 2
+)
+
+// Dials lists the aggregators to link to: all in a small fleet; in a large one
+// a few, and the other candidates of this host's servers.
+func (o owner) Dials(cfg *invent.Config, hosts []invent.Host) []string {
+	self := o.c.Settings.Host
+	return place.Neighbours(place.Network{
+		Self: self.Name, Domain: self.Domain, Small: smallFleet, Near: neighbours, Far: farNeighbours,
+	}, cfg, hosts)
+}
+
+func (o owner) Frame(now clock.Milli, l *mesh.Link, m *wire.Envelope) {
+	c := o.c
+	switch b := m.Body.(type) {
+	case *wire.Envelope_Batch:
+		c.batch(now, l, b.Batch)
+	case *wire.Envelope_Update:
+		c.update(now, l, b.Update)
+	case *wire.Envelope_Cancel:
+		for _, id := range b.Cancel.GetCalls() {
+			c.act(now, c.gate.Cancel(now, gate.Key{Link: l.ID, ID: id}))
+		}
+	case *wire.Envelope_Claim:
+		id, servers := claimFrom(b.Claim)
+		c.act(now, c.gate.Claimed(now, l.Peer.GetHost(), id, servers))
+	case *wire.Envelope_Grant:
+		id, servers, span := grantFrom(b.Grant)
+		c.act(now, c.gate.Granted(now, l.Peer.GetHost(), id, servers, span))
+	default:
+		c.Meter.Count("bad_frames", 1)
+		c.Log.Warn().Str("peer", l.Peer.GetHost()).Msg("unexpected message from peer")
+	}
+}
+
+func (c *Core) batch(now clock.Milli, l *mesh.Link, b *wire.Batch) {
+	for _, w := range b.GetCalls() {
+		key := gate.Key{Link: l.ID, ID: w.GetId()}
+		span := c.Tracer.Start(b.GetTrace(), "aggregate", attribute.String("leaf", w.GetLeaf()))
+		c.jobs[key] = &open{service: b.GetService(), span: span}
+		job := &leafs.Job{
+			Attempt: c.attempt(key), Service: b.GetService(),
+			Pin:   invent.Pin{Layout: b.GetLayout(), Version: b.GetSnapshot()},
+			Shard: int(w.GetShard()), Text: b.GetText(), Limit: int(b.GetLimit()), Parent: span.Parent(),
+		}
+		c.act(now, c.gate.Arrive(now, gate.Call{
+			Key: key, Leaf: w.GetLeaf(), Caller: b.GetCaller(), Deadline: now + clock.Milli(b.GetBudgetMs()),
+			Fingerprint: b.GetFingerprint(), Canary: w.GetCanary(), Request: job,
+		}))
+	}
+}
+
+func (c *Core) update(now clock.Milli, l *mesh.Link, u *wire.Update) {
+	key := gate.Key{Link: l.ID, ID: u.GetId()}
+	c.jobs[key] = &open{update: true, service: u.GetService()}
+	job := &leafs.Job{
+		Attempt: c.attempt(key), Service: u.GetService(), Parent: u.GetTrace(),
+		Update: &leafs.UpdateJob{ID: u.GetTicket(), Operation: u.GetOperation(), Key: u.GetKey(), Body: u.GetBody()},
+	}
+	c.act(now, c.gate.Arrive(now, gate.Call{
+		Key: key, Leaf: u.GetLeaf(), Deadline: now + clock.Milli(u.GetBudgetMs()),
+		Fingerprint: u.GetFingerprint(), Canary: true, Request: job,
+	}))
+}
+
+// attempt names a call so that no other call of any host has the same name.
+func (c *Core) attempt(k gate.Key) string {
+	return fmt.Sprintf("%s.%x.%x.%x", c.Settings.Host.Name, c.node.Incarnation, k.Link, k.ID)
+}
--- /dev/null
+++ b/aggregator/leafs/codec.go
@@ -0,0 +1,169 @@
+// Package leafs speaks HTTP to the leafs of backend servers, each call over the
+// connection that the gate chose for it.
+package leafs
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/share/clock"
+	"dandelionstile/share/fetch"
+	"dandelionstile/share/gate"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/query"
+)
+
+// Header names of the leaf's protocol, see docs/PROTOCOLS.md.
+const (
+	headerIncarnation = "Leaf-Incarnation"
+	headerState       = "Leaf-State"
+	headerSnapshots   = "Leaf-Snapshots"
+	stateDraining     = "draining"
+)
+
+// ErrForeign: the reply is not the one to the request.
+var ErrForeign = errors.New("reply does not belong to the request")
+
+// Job is what a call asks of a leaf.
+type Job struct {
+	// Attempt differs between all calls of all hosts.
+	Attempt string
+	Service string
+	Pin     invent.Pin
+	Shard   int
+	Text    string
+	Limit   int
+	// Update is set for a change instead of a query.
+	Update *UpdateJob
+	Parent string
+}
+
+// UpdateJob is a change.
+type UpdateJob struct {
+	ID        string
+	Operation string
+	Key       string
+	Body      string
+}
+
+type wireQuery struct {
+	Attempt  string `json:"attempt"`
+	Service  string `json:"service"`
+	Snapshot string `json:"snapshot"`
+	Shard    int    `json:"shard"`
+	Text     string `json:"text"`
+	Limit    int    `json:"limit"`
+	Deadline int64  `json:"deadline-ms"`
+}
+
+type wireUpdate struct {
+	Attempt   string `json:"attempt"`
+	ID        string `json:"id"`
+	Service   string `json:"service"`
+	Operation string `json:"operation"`
+	Key       string `json:"key"`
+	Body      string `json:"body"`
+	Deadline  int64  `json:"deadline-ms"`
+}
+
+type wireRow struct {
+	Key   string  `json:"key"`
+	Score float64 `json:"score"`
+	Text  string  `json:"text"`
+}
+
+type wireReply struct {
+	Attempt  string    `json:"attempt"`
+	Snapshot string    `json:"snapshot"`
+	Shards   []int     `json:"shards"`
+	Rows     []wireRow `json:"rows"`
+	Body     string    `json:"body"`
+}
+
+// request builds the HTTP request of a job. The budget is what is left until
+// the deadline.
+func (j *Job) request(address, leaf string, budget clock.Milli) (*http.Request, error) {
+	path := "/v1/leafs/" + leaf
+	var body []byte
+	var err error
+	if j.Update != nil {
+		path += "/update"
+		body, err = json.Marshal(wireUpdate{
+			Attempt: j.Attempt, ID: j.Update.ID, Service: j.Service, Operation: j.Update.Operation,
+			Key: j.Update.Key, Body: j.Update.Body, Deadline: int64(budget),
+		})
+	} else {
+		path += "/query"
+		body, err = json.Marshal(wireQuery{
+			Attempt: j.Attempt, Service: j.Service, Snapshot: j.Pin.String(), Shard: j.Shard,
+			Text: j.Text, Limit: j.Limit, Deadline: int64(budget),
+		})
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	return fetch.Request(http.MethodPost, address, path, body)
+}
+
+// outcome reads the reply to a job.
+func (j *Job) outcome(r fetch.Reply) (query.Outcome, error) {
+	switch r.Status {
+	case http.StatusOK:
+		return j.result(r.Body)
+	case http.StatusConflict:
+		return query.Outcome{Kind: query.NotRun, Reason: query.ReasonSnapshot}, nil
+	case http.StatusTooManyRequests:
+		return query.Outcome{Kind: query.Shed, Reason: query.ReasonShed}, nil
+	case http.StatusServiceUnavailable:
+		if r.Header.Get(headerState) == stateDraining {
+			return query.Outcome{Kind: query.NotRun, Reason: query.ReasonDraining}, nil
+		}
+		return query.Outcome{Kind: query.Shed, Reason: query.ReasonShed}, nil
+	}
+	return query.Outcome{Kind: query.Unknown, Reason: query.ReasonLeafError}, nil
+}
+
+// result checks that a reply belongs to the job, attempt, snapshot and shard,
+// before anything of it is used: a mixed-up connection must not put another
+// caller's rows, another snapshot or fewer shards into an answer.
+func (j *Job) result(body []byte) (query.Outcome, error) {
+	var w wireReply
+	if err := json.Unmarshal(body, &w); err != nil {
+		return query.Outcome{}, errors.Mark(errors.Wrap(err, "decode reply"), ErrForeign)
+	}
+	if w.Attempt != j.Attempt {
+		return query.Outcome{}, errors.Mark(errors.Newf("attempt %q", w.Attempt), ErrForeign)
+	}
+	if j.Update != nil {
+		return query.Outcome{Kind: query.OK, Body: w.Body}, nil
+	}
+	if w.Snapshot != j.Pin.String() {
+		return query.Outcome{}, errors.Mark(errors.Newf("snapshot %q", w.Snapshot), ErrForeign)
+	}
+	if len(w.Shards) != 1 || w.Shards[0] != j.Shard {
+		return query.Outcome{}, errors.Mark(errors.Newf("shards %v", w.Shards), ErrForeign)
+	}
+	o := query.Outcome{Kind: query.OK, Rows: make([]query.Row, len(w.Rows))}
+	for i, row := range w.Rows {
+		o.Rows[i] = query.Row(row)
+	}
+	return o, nil
+}
+
+// sign reads what the headers tell of the leaf.
+func sign(h http.Header) gate.Sign {
+	s := gate.Sign{Draining: h.Get(headerState) == stateDraining}
+	s.Incarnation, _ = strconv.ParseUint(h.Get(headerIncarnation), 10, 64) // 0 is "not told"
+	if text := h.Get(headerSnapshots); text != "" {
+		for _, one := range strings.Split(text, ",") {
+			if p, ok := invent.ParseID(strings.TrimSpace(one)); ok {
+				s.Holds = append(s.Holds, p)
+			}
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/aggregator/main.go
@@ -0,0 +1,31 @@
+// Command aggregator owns the connections to leafs of its failure domain and
+// admits work to them on behalf of entries.
+package main
+
+import (
+	"os"
+
+	"dandelionstile/aggregator/core"
+	"dandelionstile/share/daemon"
+)
+
+// arguments is the command line.
+type arguments struct {
+	daemon.Arguments
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "aggregator owns the connections to leafs of its failure domain"
+}
+
+// Version is shown by --version.
+func (arguments) Version() string { return daemon.VersionText("aggregator") }
+
+func main() {
+	var a arguments
+	os.Exit(daemon.Main("aggregator", &a, &a.Arguments, func(b daemon.Base) (daemon.Service, error) {
+		c := &core.Core{Settings: b.Settings, Log: b.Log, Meter: b.Meter, Tracer: b.Tracer}
+		return daemon.Service{Admin: c.Admin(), Leave: c.Leave, Close: c.Close}, c.Start()
+	}))
+}
--- /dev/null
+++ b/entry/core/core.go
@@ -0,0 +1,558 @@
+// Package core is the entry's control loop: it joins the fan-out's decisions
+// with the callers' requests and the links to aggregators and other entries.
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
+
+	"dandelionstile/share/clock"
+	"dandelionstile/share/fanout"
+	"dandelionstile/share/fetch"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/mesh"
+	"dandelionstile/share/meter"
+	"dandelionstile/share/node"
+	"dandelionstile/share/place"
+	"dandelionstile/share/poison"
+	"dandelionstile/share/query"
+	"dandelionstile/share/spans"
+	"dandelionstile/share/ticket"
+	"dandelionstile/share/wire"
+)
+
+// tickEvery is the pause between two ticks: hedges and deadlines are as exact.
+const tickEvery = 2 * time.Millisecond
+
+// Core is a running entry. Fields are set before Start.
+type Core struct {
+	Settings node.Settings
+	Log      zerolog.Logger
+	Meter    *meter.Meter
+	Tracer   *spans.Tracer
+
+	loop    node.Loop[any]
+	node    node.Node
+	fan     fanout.Engine
+	http    fetch.Engine
+	aggs    map[string]*mesh.Link // by host
+	entries map[string]*mesh.Link // by host
+	queries map[uint64]*openQuery
+	updates map[uint64]*openUpdate
+	away    map[string][]fanout.Update // by owner: waiting for a link
+	remote  map[uint64]remote
+	recent  recent
+	last    uint64
+}
+
+// openQuery is a query that its caller waits for.
+type openQuery struct {
+	reply chan Answered
+	span  spans.Span
+	start clock.Milli
+	req   fanout.Request
+}
+
+// openUpdate is an update that its caller waits for.
+type openUpdate struct {
+	reply chan fanout.UpdateResult
+	span  spans.Span
+}
+
+// remote is an update that another entry waits for.
+type remote struct {
+	link *mesh.Link
+	id   uint64
+}
+
+// Answered is a query's answer with the id to explain it by.
+type Answered struct {
+	ID     string
+	Answer query.Answer
+}
+
+// Messages of the control loop besides the node's.
+type (
+	tick  struct{}
+	start struct {
+		req    fanout.Request
+		budget clock.Milli
+		trace  string
+		reply  chan Answered
+	}
+	update struct {
+		req    fanout.Update
+		budget clock.Milli
+		trace  string
+		reply  chan fanout.UpdateResult
+	}
+	mint struct {
+		count int
+		reply chan Minted
+	}
+	ask struct {
+		run func(now clock.Milli)
+	}
+	leave struct{ done chan struct{} }
+)
+
+// Minted is the answer to Mint.
+type Minted struct {
+	IDs []ticket.ID
+	Err error
+}
+
+// Start links up and begins to serve.
+func (c *Core) Start() error {
+	c.aggs = map[string]*mesh.Link{}
+	c.entries = map[string]*mesh.Link{}
+	c.queries = map[uint64]*openQuery{}
+	c.updates = map[uint64]*openUpdate{}
+	c.away = map[string][]fanout.Update{}
+	c.remote = map[uint64]remote{}
+	c.loop.Clock = clock.Wall{}
+	c.http.Source = c.Settings.Listen.IP()
+	if err := c.http.Start(); err != nil {
+		return err
+	}
+	incarnation := node.NewIncarnation()
+	c.fan = fanout.Engine{
+		Self: c.Settings.Host.Name, Domain: c.Settings.Host.Domain,
+		Random: rand.New(rand.NewPCG(incarnation, uint64(time.Now().UnixNano()))),
+	}
+	c.fan.Incarnate(incarnation)
+	c.node = node.Node{
+		Settings: c.Settings, Program: node.Entry, Incarnation: incarnation, Log: c.Log,
+		Owner: owner{c}, HTTP: &c.http, Post: func(m node.Message) bool { return c.loop.Post(m) },
+	}
+	c.loop.Start(c.handle)
+	if err := c.node.Start(); err != nil {
+		return err
+	}
+	c.loop.Every(tickEvery, tick{})
+	return nil
+}
+
+func (c *Core) handle(now clock.Milli, m any) {
+	switch m := m.(type) {
+	case node.Message:
+		c.node.Handle(now, m)
+	case start:
+		c.start(now, m)
+	case update:
+		c.update(now, m)
+	case mint:
+		ids, err := c.fan.Mint(now, m.count)
+		m.reply <- Minted{ids, err}
+	case tick:
+		c.node.Handle(now, node.Tick{})
+		c.act(now, c.fan.Tick(now))
+	case ask:
+		m.run(now)
+	case leave:
+		c.node.Leave(now)
+		close(m.done)
+	}
+}
+
+func (c *Core) start(now clock.Milli, m start) {
+	c.last++
+	m.req.ID = c.last
+	if m.budget == 0 {
+		m.budget = c.deadline(m.req.Service)
+	}
+	m.req.Deadline = now + m.budget
+	span := c.Tracer.Start(m.trace, "query",
+		attribute.String("service", m.req.Service), attribute.Int64("budget-ms", int64(m.budget)))
+	c.queries[c.last] = &openQuery{reply: m.reply, span: span, start: now, req: m.req}
+	c.act(now, c.fan.Start(now, m.req))
+}
+
+// deadline is the budget of a query that names none.
+func (c *Core) deadline(service string) clock.Milli {
+	if cfg := c.fan.Config(); cfg != nil {
+		if s, ok := cfg.Service(service); ok {
+			return s.Deadline
+		}
+	}
+	return clock.Second
+}
+
+func (c *Core) update(now clock.Milli, m update) {
+	c.last++
+	m.req.Number = c.last
+	if m.budget == 0 {
+		m.budget = c.deadline(m.req.Service)
+	}
+	m.req.Deadline = now + m.budget
+	if m.req.ID == (ticket.ID{}) {
+		ids, err := c.fan.Mint(now, 1)
+		if err != nil {
+			m.reply <- fanout.UpdateResult{Kind: query.NotRun, Reason: query.ReasonNotReady}
+			return
+		}
+		m.req.ID = ids[0]
+	}
+	span := c.Tracer.Start(m.trace, "update",
+		attribute.String("service", m.req.Service), attribute.String("id", m.req.ID.String()))
+	c.updates[c.last] = &openUpdate{reply: m.reply, span: span}
+	c.act(now, c.fan.StartUpdate(now, m.req))
+}
+
+// act carries out the decisions.
+func (c *Core) act(now clock.Milli, actions []fanout.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case fanout.SendBatch:
+			c.sendBatch(now, a)
+		case fanout.CancelCalls:
+			if l := c.aggs[a.Host]; l != nil {
+				c.node.Send(l, &wire.Envelope{Body: &wire.Envelope_Cancel{Cancel: &wire.Cancel{Calls: a.Calls}}})
+			}
+		case fanout.Answered:
+			c.answer(now, a)
+		case fanout.ShareStrike:
+			c.node.Share(now, a.Strike, func(now clock.Milli) { c.act(now, c.fan.Shared(now, a.Query)) })
+		case fanout.SendUpdate:
+			c.sendUpdate(now, a)
+		case fanout.Forward:
+			c.forward(now, a)
+		case fanout.UpdateAnswered:
+			c.updated(a)
+		}
+	}
+}
+
+func (c *Core) sendBatch(now clock.Milli, a fanout.SendBatch) {
+	trace := ""
+	if q := c.queries[a.Query]; q != nil {
+		trace = q.span.Parent()
+	}
+	l := c.aggs[a.Host]
+	if l != nil && c.node.Send(l, batchTo(a, max(0, a.Deadline-now), trace)) {
+		return
+	}
+	// Nothing left this host, so the calls have not run.
+	for _, call := range a.Calls {
+		c.act(now, c.fan.Outcome(now, query.Outcome{Call: call.ID, Kind: query.NotRun, Reason: query.ReasonBusy}))
+	}
+}
+
+func (c *Core) sendUpdate(now clock.Milli, a fanout.SendUpdate) {
+	trace := ""
+	if u := c.updates[a.Update.Number]; u != nil {
+		trace = u.span.Parent()
+	}
+	l := c.aggs[a.Host]
+	if l != nil && c.node.Send(l, updateTo(a, max(0, a.Update.Deadline-now), trace)) {
+		return
+	}
+	c.act(now, c.fan.UpdateOutcome(now, a.Call, fanout.UpdateResult{Kind: query.NotRun, Reason: query.ReasonBusy}))
+}
+
+// forward hands an update to the entry that minted its id, dialing it first if
+// need be.
+func (c *Core) forward(now clock.Milli, a fanout.Forward) {
+	if l := c.entries[a.Host]; l != nil {
+		if !c.node.Send(l, forwardTo(a.Update, max(0, a.Update.Deadline-now))) {
+			c.act(now, c.fan.ForwardFailed(a.Update.Number))
+		}
+		return
+	}
+	for _, h := range c.node.Hosts() {
+		if h.Name == a.Host {
+			c.away[a.Host] = append(c.away[a.Host], a.Update)
+			c.node.Dial(h.Entry)
+			return
+		}
+	}
+	c.act(now, c.fan.ForwardOutcome(a.Update.Number, fanout.UpdateResult{
+		Kind: query.Unknown, Reason: query.ReasonOwnerGone,
+	}))
+}
+
+func (c *Core) answer(now clock.Milli, a fanout.Answered) {
+	q := c.queries[a.Query]
+	if q == nil {
+		return
+	}
+	delete(c.queries, a.Query)
+	id := fmt.Sprintf("%s.%x.%x", c.Settings.Host.Name, c.node.Incarnation, a.Query)
+	c.recent.add(Explained{ID: id, Service: q.req.Service, Arrived: q.start, Answered: now, Answer: a.Answer, Trail: a.Trail})
+	c.count(now, q, a.Answer)
+	for _, s := range a.Trail {
+		q.span.Event(string(s.Event), attribute.Int("shard", s.Shard), attribute.String("leaf", s.Leaf),
+			attribute.String("host", s.Host), attribute.String("cause", string(s.Cause)))
+	}
+	q.span.Set(attribute.Int("shards", a.Answer.Coverage.Shards), attribute.Int("answered", a.Answer.Coverage.Answered),
+		attribute.Int("extra", a.Answer.Extra), attribute.String("refused", string(a.Answer.Refused)))
+	q.span.End()
+	q.reply <- Answered{ID: id, Answer: a.Answer}
+}
+
+// count records the measures: latency, coverage, extra load and refusals.
+func (c *Core) count(now clock.Milli, q *openQuery, a query.Answer) {
+	service := meter.Label{Name: "service", Value: c.known(q.req.Service)}
+	c.Meter.Latency("query_latency", (now - q.start).Duration(), service)
+	c.Meter.Count("leaf_calls", int64(a.Calls), service)
+	c.Meter.Count("leaf_calls_extra", int64(a.Extra), service)
+	switch {
+	case a.Refused != query.ReasonNone:
+		c.Meter.Count("queries", 1, service, meter.Label{Name: "result", Value: "refused"},
+			meter.Label{Name: "reason", Value: string(a.Refused)})
+	case a.Coverage.Complete():
+		c.Meter.Count("queries", 1, service, meter.Label{Name: "result", Value: "complete"}, meter.Label{Name: "reason", Value: ""})
+	default:
+		c.Meter.Count("queries", 1, service, meter.Label{Name: "result", Value: "partial"},
+			meter.Label{Name: "reason", Value: string(a.Coverage.Missing[0].Reason)})
+	}
+	c.Meter.Count("shards_asked", int64(a.Coverage.Shards), service)
+	c.Meter.Count("shards_answered", int64(a.Coverage.Answered), service)
+}
+
+// known maps names that are not in the inventory to one label.
+func (c *Core) known(service string) string {
+	if cfg := c.fan.Config(); cfg != nil {
+		if _, ok := cfg.Service(service); ok {
+			return service
+		}
+	}
+	return "other"
+}
+
+func (c *Core) updated(a fanout.UpdateAnswered) {
+	c.Meter.Count("updates", 1, meter.Label{Name: "result", Value: a.Result.Kind.String()},
+		meter.Label{Name: "reason", Value: string(a.Result.Reason)})
+	if r, ok := c.remote[a.Number]; ok {
+		delete(c.remote, a.Number)
+		c.node.Send(r.link, updateReplyTo(r.id, a.Result))
+		return
+	}
+	u := c.updates[a.Number]
+	if u == nil {
+		return
+	}
+	delete(c.updates, a.Number)
+	u.span.Set(attribute.String("result", a.Result.Kind.String()), attribute.String("reason", string(a.Result.Reason)))
+	u.span.End()
+	u.reply <- a.Result
+}
+
+// slack is how long past its deadline a request waits for the control loop
+// before it is answered without it.
+const slack = 2 * time.Second
+
+// Query runs a query. The budget is in milliseconds; 0 takes the service's. The
+// second result is false when the loop does not answer.
+func (c *Core) Query(req fanout.Request, budget clock.Milli, trace string) (Answered, bool) {
+	m := start{req: req, budget: budget, trace: trace, reply: make(chan Answered, 1)}
+	if !c.loop.Post(m) {
+		return Answered{}, false
+	}
+	return await(m.reply, budget)
+}
+
+func await[T any](reply chan T, budget clock.Milli) (T, bool) {
+	if budget == 0 {
+		budget = clock.Minute
+	}
+	timer := time.NewTimer(budget.Duration() + slack)
+	defer timer.Stop()
+	select {
+	case r := <-reply:
+		return r, true
+	case <-timer.C:
+		var none T
+		return none, false
+	}
+}
+
+// Update runs an update.
+func (c *Core) Update(req fanout.Update, budget clock.Milli, trace string) (fanout.UpdateResult, bool) {
+	m := update{req: req, budget: budget, trace: trace, reply: make(chan fanout.UpdateResult, 1)}
+	if !c.loop.Post(m) {
+		return fanout.UpdateResult{}, false
+	}
+	return await(m.reply, budget)
+}
+
+// Mint returns new ids.
+func (c *Core) Mint(count int) (Minted, bool) {
+	m := mint{count: count, reply: make(chan Minted, 1)}
+	if !c.loop.Post(m) {
+		return Minted{}, false
+	}
+	return await(m.reply, clock.Second)
+}
+
+// Config returns the configuration in force, or nil.
+func (c *Core) Config() *invent.Config {
+	got, _ := inLoop(c, func(clock.Milli) *invent.Config { return c.fan.Config() })
+	return got
+}
+
+// inLoop runs a function in the control loop and returns its result.
+func inLoop[T any](c *Core, f func(now clock.Milli) T) (T, bool) {
+	reply := make(chan T, 1)
+	if !c.loop.Post(ask{run: func(now clock.Milli) { reply <- f(now) }}) {
+		var none T
+		return none, false
+	}
+	return await(reply, clock.Second)
+}
+
+// Leave tells the peers that this entry goes.
+func (c *Core) Leave() {
+	m := leave{done: make(chan struct{})}
+	if c.loop.Post(m) {
+		<-m.done
+	}
+}
+
+// Idle tells whether no request is under way.
+func (c *Core) Idle() bool {
+	idle, ok := inLoop(c, func(clock.Milli) bool { return c.fan.Idle() && len(c.queries) == 0 })
+	return idle || !ok
+}
+
+// Close ends everything that Start began, and waits.
+func (c *Core) Close() error {
+	err := c.http.Close()
+	if e := c.node.Close(); err == nil {
+		err = e
+	}
+	if e := c.loop.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// owner is what the node tells its program; see node.Program.
+type owner struct{ c *Core }
+
+func (o owner) Configure(now clock.Milli, cfg *invent.Config, hosts []invent.Host) {
+	o.c.fan.Configure(now, cfg, hosts)
+	for name, l := range o.c.aggs {
+		if l != nil {
+			o.c.fan.HostUp(name)
+		}
+	}
+	for _, h := range hosts {
+		o.c.fan.HostLeaving(h.Name, h.Leaving)
+	}
+}
+
+func (o owner) LinkUp(now clock.Milli, l *mesh.Link) {
+	c := o.c
+	host := l.Peer.GetHost()
+	switch l.Peer.GetProgram() {
+	case node.Aggregator:
+		if l.Dialed == "" {
+			return
+		}
+		c.aggs[host] = l
+		c.fan.HostUp(host)
+	case node.Entry:
+		c.entries[host] = l
+		waiting := c.away[host]
+		delete(c.away, host)
+		for _, u := range waiting {
+			c.forward(now, fanout.Forward{Host: host, Update: u})
+		}
+	}
+}
+
+func (o owner) LinkDown(now clock.Milli, l *mesh.Link, _ error) {
+	c := o.c
+	host := l.Peer.GetHost()
+	if c.aggs[host] == l {
+		delete(c.aggs, host)
+		c.act(now, c.fan.HostDown(now, host))
+	}
+	if c.entries[host] == l {
+		delete(c.entries, host)
+		c.act(now, c.fan.OwnerDown(host))
+	}
+	for n, r := range c.remote {
+		if r.link == l {
+			delete(c.remote, n)
+		}
+	}
+}
+
+func (o owner) RTT(_ clock.Milli, l *mesh.Link, trip time.Duration) {
+	if l.Peer.GetProgram() == node.Aggregator {
+		o.c.fan.HostRTT(l.Peer.GetHost(), float64(trip.Microseconds())/1000)
+	}
+}
+
+func (o owner) Leaving(_ clock.Milli, l *mesh.Link, leaving bool) {
+	if l.Peer.GetProgram() == node.Aggregator {
+		o.c.fan.HostLeaving(l.Peer.GetHost(), leaving)
+	}
+}
+
+func (o owner) Strike(now clock.Milli, s poison.Strike) bool { return o.c.fan.Strike(now, s) }
+
+func (o owner) Confirmed(clock.Milli) {}
+
+// smallFleet is how many hosts an entry links to whole.
+const smallFleet = 64
+
+// Bounds of Dials in a larger fleet.
+const (
+	nearLinks = 8
+	farLinks  = 8
+)
+
+func (o owner) Dials(cfg *invent.Config, hosts []invent.Host) []string {
+	self := o.c.Settings.Host
+	return place.Neighbours(place.Network{
+		Self: self.Name, Domain: self.Domain, Small: smallFleet, Near: nearLinks, Far: farLinks,
+	}, cfg, hosts)
+}
+
+func (o owner) Frame(now clock.Milli, l *mesh.Link, m *wire.Envelope) {
+	c := o.c
+	switch b := m.Body.(type) {
+	case *wire.Envelope_Outcomes:
+		for _, fb := range b.Outcomes.GetFeedback() {
+			c.fan.Feedback(wire.FeedbackFrom(fb))
+		}
+		for _, w := range b.Outcomes.GetOutcomes() {
+			c.act(now, c.fan.Outcome(now, wire.OutcomeFrom(w)))
+		}
+	case *wire.Envelope_UpdateReply:
+		res := updateResultFrom(b.UpdateReply)
+		if l.Peer.GetProgram() == node.Entry {
+			c.act(now, c.fan.ForwardOutcome(b.UpdateReply.GetId(), res))
+			return
+		}
+		c.act(now, c.fan.UpdateOutcome(now, b.UpdateReply.GetId(), res))
+	case *wire.Envelope_Update:
+		c.forwarded(now, l, b.Update)
+	default:
+		c.Meter.Count("bad_frames", 1)
+		c.Log.Warn().Str("peer", l.Peer.GetHost()).Msg("unexpected message from peer")
+	}
+}
+
+// forwarded takes an update whose id this host is said to have minted. It is
+// never forwarded again.
+func (c *Core) forwarded(now clock.Milli, l *mesh.Link, w *wire.Update) {
+	id, err := ticket.Parse(w.GetTicket())
+	if err != nil || id.Host != c.Settings.Host.Name {
+		c.node.Send(l, updateReplyTo(w.GetId(), fanout.UpdateResult{Kind: query.Unknown, Reason: query.ReasonOwnerGone}))
+		return
+	}
+	c.last++
+	c.remote[c.last] = remote{link: l, id: w.GetId()}
+	c.act(now, c.fan.StartUpdate(now, fanout.Update{
+		Number: c.last, ID: id, Service: w.GetService(), Operation: w.GetOperation(),
+		Key: w.GetKey(), Body: w.GetBody(), Deadline: now + clock.Milli(w.GetBudgetMs()),
+	}))
+}
--- /dev/null
+++ b/fakes/leaf/control.go
@@ -0,0 +1,83 @@
+package leaf
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"dandelionstile/share/invent"
+)
+
+// Control drives many servers over HTTP.
+type Control struct {
+	Servers map[string]*Server
+}
+
+// Command is the body of a control request.
+type Command struct {
+	Server    string   `json:"server"`
+	Leaf      string   `json:"leaf"`
+	Action    string   `json:"action"`
+	Factor    float64  `json:"factor"`
+	Fault     Fault    `json:"fault"`
+	Snapshots []string `json:"snapshots"`
+	On        bool     `json:"on"`
+}
+
+// Handler serves POST /control and GET /stats.
+func (c Control) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /control", c.command)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		all := make([]Stats, 0, len(c.Servers))
+		for _, s := range c.Servers {
+			all = append(all, s.Stats())
+		}
+		_ = json.NewEncoder(w).Encode(all) // a reader that is gone needs none
+	})
+	return mux
+}
+
+func (c Control) command(w http.ResponseWriter, r *http.Request) {
+	var cmd Command
+	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for name, s := range c.Servers {
+		if cmd.Server != "" && cmd.Server != name {
+			continue
+		}
+		if !apply(s, cmd) {
+			http.Error(w, "no such action", http.StatusBadRequest)
+			return
+		}
+	}
+}
+
+func apply(s *Server, cmd Command) bool {
+	switch cmd.Action {
+	case "crash":
+		s.Crash()
+	case "chill":
+		s.Chill()
+	case "drain":
+		s.Drain(cmd.On)
+	case "silence":
+		s.Silence(cmd.Factor)
+	case "straggle":
+		s.Straggle(cmd.Leaf, cmd.Factor)
+	case "fault":
+		s.SetFault(cmd.Leaf, cmd.Fault)
+	case "snapshots":
+		var pins []invent.Pin
+		for _, text := range cmd.Snapshots {
+			if p, ok := invent.ParseID(text); ok {
+				pins = append(pins, p)
+			}
+		}
+		s.SetSnapshots(pins...)
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/share/daemon/daemon.go
@@ -0,0 +1,160 @@
+// Package daemon is the frame of the long-running programs: arguments,
+// settings, logs, metrics, the admin address, and an orderly end on a signal.
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"dandelionstile/share/conf"
+	"dandelionstile/share/httpd"
+	"dandelionstile/share/logs"
+	"dandelionstile/share/meter"
+	"dandelionstile/share/node"
+	"dandelionstile/share/spans"
+)
+
+// Version is the release, as in CHANGELOG.md.
+const Version = "0.1.0"
+
+// Exit codes of the programs.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// VersionText is what --version prints.
+func VersionText(program string) string {
+	text := "dandelionstile " + program + " " + Version
+	if info, ok := debug.ReadBuildInfo(); ok {
+		text += " (" + info.GoVersion + ")"
+	}
+	return text
+}
+
+// Arguments are the flags that all daemons have. Those that are given override
+// the settings file.
+type Arguments struct {
+	Settings string `arg:"--settings,-s,required" placeholder:"FILE" help:"settings file (YAML)"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+	LogLevel string `arg:"--log-level" placeholder:"LEVEL" help:"debug, info, warn or error"`
+	Admin    string `arg:"--admin" placeholder:"IP:PORT" help:"address of the admin endpoint"`
+	Links    string `arg:"--links" placeholder:"IP:PORT" help:"address for links between hosts"`
+	Platform string `arg:"--platform" placeholder:"IP:PORT" help:"address of the platform"`
+}
+
+func (a Arguments) override(s *node.Settings) {
+	for _, o := range []struct {
+		from string
+		to   *string
+	}{
+		{a.LogLevel, &s.Log.Level},
+		{a.Admin, &s.Listen.Admin},
+		{a.Links, &s.Listen.Links},
+		{a.Platform, &s.Platform.Address},
+	} {
+		if o.from != "" {
+			*o.to = o.from
+		}
+	}
+}
+
+// Base is what a program starts from.
+type Base struct {
+	Settings node.Settings
+	Log      zerolog.Logger
+	Meter    *meter.Meter
+	Tracer   *spans.Tracer
+}
+
+// Service is a running program.
+type Service struct {
+	Admin http.Handler
+	// Leave ends the service's work in order; a second signal skips it.
+	Leave func()
+	Close func() error
+}
+
+// Main runs a program and returns its exit code. The arguments are parsed into
+// all, which embeds common.
+func Main(program string, all any, common *Arguments, start func(Base) (Service, error)) int {
+	arg.MustParse(all)
+	settings, err := node.Load(common.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	common.override(&settings)
+	if common.Check {
+		fmt.Println("settings are valid")
+		return ExitOK
+	}
+	if err := run(program, settings, start); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		if errors.Is(err, conf.ErrInvalid) || errors.Is(err, node.ErrTLS) {
+			return ExitSettings
+		}
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+func run(program string, settings node.Settings, start func(Base) (Service, error)) error {
+	log, err := logs.New(os.Stderr, settings.Log.Level, program, settings.Host.Name)
+	if err != nil {
+		return errors.Mark(err, conf.ErrInvalid)
+	}
+	tracer, err := spans.New(settings.Trace.File, program, settings.Host.Name, settings.Trace.Ratio)
+	if err != nil {
+		return err
+	}
+	m := meter.New(program)
+	service, err := start(Base{Settings: settings, Log: log, Meter: m, Tracer: tracer})
+	if err != nil {
+		return err
+	}
+	admin := httpd.Server{Address: settings.Listen.Admin, Handler: service.Admin}
+	if err := admin.Start(); err != nil {
+		return errors.CombineErrors(err, service.Close())
+	}
+	log.Info().Str("admin", admin.Addr()).Str("links", settings.Listen.Links).Msg("started")
+	wait(log, service.Leave)
+	err = service.Close()
+	err = errors.CombineErrors(err, admin.Close())
+	err = errors.CombineErrors(err, m.Close())
+	err = errors.CombineErrors(err, tracer.Close())
+	log.Info().AnErr("fault", err).Msg("stopped")
+	return err
+}
+
+// wait returns when a signal has come and the service has left, or at a second
+// signal.
+func wait(log zerolog.Logger, leave func()) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	first := <-signals
+	log.Info().Str("signal", first.String()).Msg("leaving")
+	left := make(chan struct{})
+	go func() {
+		leave()
+		close(left)
+	}()
+	select {
+	case <-left:
+	case second := <-signals:
+		log.Warn().Str("signal", second.String()).Msg("second signal: work under way is cut")
+	}
+}
+
+// Invalid marks an error as one of the settings, for the exit code.
+func Invalid(err error) error { return errors.Mark(err, conf.ErrInvalid) }
--- /dev/null
+++ b/share/fanout/engine.go
@@ -0,0 +1,514 @@
+// Package fanout decides, in an entry, how a query is answered: which snapshot
+// it is pinned to, which replica of each shard is asked through which
+// aggregator, what is retried or hedged, and when the answer is complete or
+// honestly partial. It is a state machine without I/O: events go in with the
+// time, actions come out.
+package fanout
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"dandelionstile/share/clock"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/place"
+	"dandelionstile/share/poison"
+	"dandelionstile/share/query"
+)
+
+// Action is something for the program to do; one of the types below.
+type Action interface{ action() }
+
+// CallSpec asks one leaf for one shard.
+type CallSpec struct {
+	ID     uint64
+	Leaf   string
+	Shard  int
+	Canary bool
+}
+
+// SendBatch sends a query's calls to one aggregator.
+type SendBatch struct {
+	Host        string
+	Query       uint64
+	Service     string
+	Text        string
+	Caller      string
+	Pin         invent.Pin
+	Limit       int
+	Deadline    clock.Milli
+	Fingerprint uint64
+	Calls       []CallSpec
+}
+
+// CancelCalls tells an aggregator that calls are no longer needed.
+type CancelCalls struct {
+	Host  string
+	Calls []uint64
+}
+
+// Answered gives a query its answer.
+type Answered struct {
+	Query  uint64
+	Answer query.Answer
+	Trail  []Step
+}
+
+// ShareStrike tells all peers of a strike; the program calls Shared when they
+// have it.
+type ShareStrike struct {
+	Query  uint64
+	Strike poison.Strike
+}
+
+func (SendBatch) action()   {}
+func (CancelCalls) action() {}
+func (Answered) action()    {}
+func (ShareStrike) action() {}
+
+// Step is one decision about a query, for traces and `stile explain`.
+type Step struct {
+	At    clock.Milli
+	Event Event
+	Shard int
+	Leaf  string
+	Host  string
+	Cause query.Reason
+}
+
+// Event names a decision.
+type Event string
+
+// The events.
+const (
+	EventPinned   Event = "pinned"
+	EventRepinned Event = "repinned"
+	EventCanary   Event = "canary"
+	EventSent     Event = "sent"
+	EventRetried  Event = "retried"
+	EventHedged   Event = "hedged"
+	EventFailed   Event = "failed"
+	EventMissing  Event = "missing"
+	EventHeld     Event = "held-by-budget"
+	EventRefused  Event = "refused"
+)
+
+// Choice is how a replica is chosen.
+type Choice uint8
+
+// The choices.
+const (
+	ChoosePowerOfTwo Choice = iota
+	ChooseLeast
+	ChooseRandom
+)
+
+// Policy varies how the engine behaves; zero fields take the defaults. The
+// bench compares settings.
+type Policy struct {
+	Choose Choice
+	// BudgetPercent is how many extra leaf calls are allowed per 100 first
+	// ones.
+	BudgetPercent int
+	// HedgeQuantile is the quantile of leaf call times after which a call is
+	// hedged, in percent.
+	HedgeQuantile float64
+	NoHedge       bool
+	NoCanary      bool
+	// NoBackpressure admits every query; only the baseline sets it.
+	NoBackpressure bool
+	// FixedRetries retries each failed call so many times without a budget;
+	// only the baseline sets it.
+	FixedRetries int
+}
+
+// Defaults and bounds.
+const (
+	defaultBudgetPercent = 3
+	defaultHedgeQuantile = 95
+	// maxTries bounds the attempts per shard, whatever the budget.
+	maxTries = 4
+	// nearby is how much farther than the nearest a replica may be to count
+	// as near, in milliseconds.
+	nearby = 2.0
+	// strikeWait is how long an answer waits until peers know of a crash.
+	strikeWait = 200 * clock.Milli(1)
+	// reserve is kept of a deadline for the way back to the caller.
+	reserve = 2 * clock.Milli(1)
+)
+
+// Engine decides for one entry. Fields are set before the first call. It is
+// used from one goroutine.
+type Engine struct {
+	Self   string
+	Domain string
+	Policy Policy
+	// Random must be seeded by the program, or with a fixed seed in tests.
+	Random *rand.Rand
+
+	cfg      *invent.Config
+	services map[string]*service
+	leafs    map[string]*leaf
+	early    map[string]query.Feedback // of leafs not in the inventory yet
+	hosts    map[string]*host
+	queries  map[uint64]*running
+	order    []*running // in order of arrival; may hold finished ones
+	attempts map[uint64]*attempt
+	strikes  poison.Table
+	good     proven
+	lastCall uint64
+	updates  updates
+}
+
+// service is everything known of one service.
+type service struct {
+	invent.Service
+	shards map[uint32][][]*leaf // by layout, then shard
+	timing timing
+	budget budget
+	door   door
+	pin    invent.Pin
+	pinned bool
+	dirty  bool // the pin has to be chosen again
+}
+
+// leaf is an entry's view of one leaf.
+type leaf struct {
+	name    string
+	server  string
+	domain  string
+	service *service
+	owners  []string
+	out     query.Reason
+	fb      query.Feedback
+	known   bool
+	flying  int     // our calls at it
+	usual   float64 // smoothed time of our calls, in ms
+}
+
+// host is an entry's view of one aggregator.
+type host struct {
+	up      bool
+	leaving bool
+	rtt     float64 // in ms
+}
+
+// Configure puts a configuration and a host list in force. Queries that run
+// keep their pin.
+func (e *Engine) Configure(now clock.Milli, cfg *invent.Config, hosts []invent.Host) {
+	e.init()
+	e.cfg = cfg
+	services := map[string]*service{}
+	for _, s := range cfg.Inventory.Services {
+		v := e.services[s.Name]
+		if v == nil {
+			v = &service{}
+		}
+		v.Service = s
+		v.dirty = true
+		v.shards = map[uint32][][]*leaf{}
+		for _, l := range s.Layouts {
+			v.shards[l.ID] = make([][]*leaf, l.Shards)
+		}
+		services[s.Name] = v
+	}
+	leafs := map[string]*leaf{}
+	byDomain := map[string][]invent.Host{}
+	for _, h := range hosts {
+		if e.hosts[h.Name] == nil {
+			e.hosts[h.Name] = &host{}
+		}
+		byDomain[h.Domain] = append(byDomain[h.Domain], h)
+	}
+	for _, s := range cfg.Inventory.Servers {
+		v := services[s.Service]
+		var owners []string
+		for _, h := range place.Owners(byDomain[s.Domain], s.Domain, s.Name, place.Candidates) {
+			owners = append(owners, h.Name)
+		}
+		for _, l := range s.Leafs {
+			f := e.leafs[l.Name]
+			if f == nil {
+				f = &leaf{name: l.Name}
+			}
+			f.server, f.domain, f.service, f.owners = s.Name, s.Domain, v, owners
+			f.out = outOf(cfg, s)
+			leafs[l.Name] = f
+			for _, h := range l.Holds {
+				v.shards[h.Layout][h.Shard] = append(v.shards[h.Layout][h.Shard], f)
+			}
+		}
+	}
+	e.services, e.leafs = services, leafs
+	early := e.early
+	e.early = map[string]query.Feedback{}
+	for _, fb := range early {
+		if e.leafs[fb.Leaf] != nil {
+			e.Feedback(fb)
+		}
+	}
+}
+
+// maxEarly bounds what is kept of leafs that no configuration names yet.
+const maxEarly = 100000
+
+func outOf(cfg *invent.Config, s invent.Server) query.Reason {
+	if cfg.DomainOut(s.Domain) {
+		return query.ReasonDomainOut
+	}
+	if rule, ok := cfg.CarryFor(s.Name); ok && rule.Out {
+		return query.ReasonServerOut
+	}
+	return query.ReasonNone
+}
+
+func (e *Engine) init() {
+	if e.hosts != nil {
+		return
+	}
+	e.hosts = map[string]*host{}
+	e.early = map[string]query.Feedback{}
+	e.queries = map[uint64]*running{}
+	e.attempts = map[uint64]*attempt{}
+	e.updates.init()
+	if e.Random == nil {
+		e.Random = rand.New(rand.NewPCG(1, 2))
+	}
+}
+
+// Config returns the configuration in force, or nil.
+func (e *Engine) Config() *invent.Config { return e.cfg }
+
+// HostUp says that an aggregator is linked.
+func (e *Engine) HostUp(name string) {
+	e.init()
+	e.host(name).up = true
+}
+
+// HostLeaving says whether an aggregator is on its way out.
+func (e *Engine) HostLeaving(name string, leaving bool) {
+	e.init()
+	e.host(name).leaving = leaving
+}
+
+// HostRTT gives a measured round trip to an aggregator, in milliseconds.
+func (e *Engine) HostRTT(name string, rtt float64) {
+	e.init()
+	h := e.host(name)
+	if h.rtt == 0 {
+		h.rtt = rtt
+	}
+	h.rtt += (rtt - h.rtt) / 4
+}
+
+func (e *Engine) host(name string) *host {
+	h, ok := e.hosts[name]
+	if !ok {
+		h = &host{}
+		e.hosts[name] = h
+	}
+	return h
+}
+
+// HostDown says that the link to an aggregator is gone. What was sent over it
+// may have run.
+func (e *Engine) HostDown(now clock.Milli, name string) []Action {
+	e.init()
+	e.host(name).up = false
+	var lost []*attempt
+	for _, a := range e.attempts {
+		if a.host == name {
+			lost = append(lost, a)
+		}
+	}
+	sort.Slice(lost, func(i, j int) bool { return lost[i].id < lost[j].id })
+	var out []Action
+	for _, a := range lost {
+		out = append(out, e.Outcome(now, query.Outcome{Call: a.id, Kind: query.Unknown, Reason: query.ReasonUnreachable})...)
+	}
+	for _, s := range e.services {
+		s.dirty = true
+	}
+	return append(out, e.updatesHostDown(now, name)...)
+}
+
+// Feedback takes what an aggregator knows of a leaf.
+func (e *Engine) Feedback(fb query.Feedback) {
+	e.init()
+	f := e.leafs[fb.Leaf]
+	if f == nil {
+		// A fresh entry is told of all leafs as soon as its links are up,
+		// which may be before it has a configuration. Nobody tells it again
+		// until something changes, so it is kept.
+		if len(e.early) < maxEarly {
+			e.early[fb.Leaf] = fb
+		}
+		return
+	}
+	if !f.known || f.fb.Closed != fb.Closed || !samePins(f.fb.Holds, fb.Holds) {
+		f.service.dirty = true
+	}
+	f.fb, f.known = fb, true
+}
+
+func samePins(a, b []invent.Pin) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Strike takes a strike from another host and tells whether it was news.
+func (e *Engine) Strike(now clock.Milli, s poison.Strike) bool { return e.strikes.Merge(now, s) }
+
+// Strikes lists the requests refused now.
+func (e *Engine) Strikes(now clock.Milli) []poison.Strike { return e.strikes.Strikes(now) }
+
+// owner returns the aggregator to reach a leaf through: the first candidate
+// that is linked and stays, or else one that is linked. The skip names hosts
+// that have refused already.
+func (e *Engine) owner(f *leaf, skip map[string]bool) string {
+	leaving := ""
+	for _, name := range f.owners {
+		h := e.hosts[name]
+		if h == nil || !h.up || skip[name] {
+			continue
+		}
+		if !h.leaving {
+			return name
+		}
+		if leaving == "" {
+			leaving = name
+		}
+	}
+	return leaving
+}
+
+// usable tells whether a leaf may get new work for a pin.
+func (e *Engine) usable(f *leaf, pin invent.Pin) bool {
+	if f.out != query.ReasonNone || !f.known || f.fb.Closed || !holds(f, pin) {
+		return false
+	}
+	return e.owner(f, nil) != ""
+}
+
+func holds(f *leaf, pin invent.Pin) bool {
+	for _, p := range f.fb.Holds {
+		if p == pin {
+			return true
+		}
+	}
+	return false
+}
+
+// choosePin picks the newest snapshot that all shards have somewhere in reach,
+// or else the one that covers most. An answer rests on this one snapshot alone.
+func (e *Engine) choosePin(s *service) (invent.Pin, bool) {
+	if !s.dirty {
+		return s.pin, s.pinned
+	}
+	s.dirty = false
+	covered := map[invent.Pin]int{}
+	for layout, shards := range s.shards {
+		for _, replicas := range shards {
+			seen := map[invent.Pin]bool{}
+			for _, f := range replicas {
+				for _, p := range f.fb.Holds {
+					if p.Layout == layout && !seen[p] && e.usable(f, p) {
+						seen[p] = true
+						covered[p]++
+					}
+				}
+			}
+		}
+	}
+	s.pinned = false
+	var best float64
+	for p, n := range covered {
+		share := float64(n) / float64(len(s.shards[p.Layout]))
+		if !s.pinned || share > best || (share == best && s.pin.Less(p)) {
+			s.pin, s.pinned, best = p, true, share
+		}
+	}
+	return s.pin, s.pinned
+}
+
+// Pin returns the snapshot that a new query of a service would be pinned to.
+func (e *Engine) Pin(name string) (invent.Pin, bool) {
+	s := e.services[name]
+	if s == nil {
+		return invent.Pin{}, false
+	}
+	return e.choosePin(s)
+}
+
+// Reach tells, for a service's current pin, how many shards could be answered
+// now.
+func (e *Engine) Reach(name string) query.Coverage {
+	s := e.services[name]
+	if s == nil {
+		return query.Coverage{}
+	}
+	pin, ok := e.choosePin(s)
+	if !ok {
+		layout := s.Layouts[len(s.Layouts)-1]
+		c := query.Coverage{Shards: layout.Shards}
+		for i := range layout.Shards {
+			c.Missing = append(c.Missing, query.Missing{Shard: i, Reason: query.ReasonNoReplica})
+		}
+		return c
+	}
+	c := query.Coverage{Shards: len(s.shards[pin.Layout])}
+	for shard, replicas := range s.shards[pin.Layout] {
+		if e.anyUsable(replicas, pin) {
+			c.Answered++
+			continue
+		}
+		c.Missing = append(c.Missing, query.Missing{Shard: shard, Reason: e.whyNone(replicas)})
+	}
+	return c
+}
+
+func (e *Engine) anyUsable(replicas []*leaf, pin invent.Pin) bool {
+	for _, f := range replicas {
+		if e.usable(f, pin) {
+			return true
+		}
+	}
+	return false
+}
+
+// whyNone explains why no replica of a shard can be asked.
+func (e *Engine) whyNone(replicas []*leaf) query.Reason {
+	why := query.ReasonNoReplica
+	for _, f := range replicas {
+		switch {
+		case f.out != query.ReasonNone:
+			why = f.out
+		case e.owner(f, nil) == "":
+			return query.ReasonUnreachable
+		}
+	}
+	return why
+}
+
+// cancelActions lists cancellations by host, in order, so that runs repeat.
+func cancelActions(byHost map[string][]uint64) []Action {
+	names := make([]string, 0, len(byHost))
+	for h := range byHost {
+		names = append(names, h)
+	}
+	sort.Strings(names)
+	out := make([]Action, 0, len(names))
+	for _, h := range names {
+		ids := byHost[h]
+		sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+		out = append(out, CancelCalls{Host: h, Calls: ids})
+	}
+	return out
+}
--- /dev/null
+++ b/share/fanout/pick.go
@@ -0,0 +1,174 @@
+package fanout
+
+import (
+	"dandelionstile/share/invent"
+	"dandelionstile/share/place"
+)
+
+// candidate is a leaf that may be asked now, through a host.
+type candidate struct {
+	leaf *leaf
+	host string
+	// cost is the time to expect, in ms.
+	cost float64
+	rtt  float64
+}
+
+// candidates lists the replicas of a shard that may be asked and were not yet.
+func (e *Engine) candidates(q *running, shard int) []candidate {
+	st := &q.shards[shard]
+	var list []candidate
+	for _, f := range q.service.shards[q.pin.Layout][shard] {
+		if st.tried[f.name] || !e.usable(f, q.pin) {
+			continue
+		}
+		if c, ok := e.candidate(f, nil); ok {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+func (e *Engine) candidate(f *leaf, skip map[string]bool) (candidate, bool) {
+	name := e.owner(f, skip)
+	if name == "" {
+		return candidate{}, false
+	}
+	rtt := e.hosts[name].rtt
+	return candidate{leaf: f, host: name, rtt: rtt, cost: rtt + f.expect()}, true
+}
+
+// expect is how long a call to the leaf is likely to take, from its usual time
+// and the calls ahead of it.
+func (f *leaf) expect() float64 {
+	usual := max(f.usual, 1)
+	limit := float64(max(f.fb.Limit, 1))
+	ahead := float64(max(f.fb.Busy+f.fb.Queued, f.flying))
+	return usual * (1 + ahead/limit)
+}
+
+// free tells whether a leaf seems to have a slot to spare.
+func (f *leaf) free() bool {
+	return max(f.fb.Busy+f.fb.Queued, f.flying) < f.fb.Limit
+}
+
+// choose picks one of the candidates. Near ones are preferred; a far one is
+// taken when even its longer way promises an earlier answer.
+func (e *Engine) choose(list []candidate) candidate {
+	if e.Policy.Choose == ChooseRandom {
+		return list[e.Random.IntN(len(list))]
+	}
+	least := list[0].rtt
+	for _, c := range list {
+		least = min(least, c.rtt)
+	}
+	var near, far []candidate
+	for _, c := range list {
+		if c.rtt <= least+nearby {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	best := e.chooseNear(near)
+	for _, c := range far {
+		if c.cost < best.cost {
+			best = c
+		}
+	}
+	return best
+}
+
+func (e *Engine) chooseNear(near []candidate) candidate {
+	if len(near) == 1 {
+		return near[0]
+	}
+	if e.Policy.Choose == ChooseLeast {
+		best := near[0]
+		for _, c := range near[1:] {
+			if c.cost < best.cost {
+				best = c
+			}
+		}
+		return best
+	}
+	// Power of two choices: entries act on feedback of different ages, and if
+	// each took the least loaded leaf, all would take the same one at once.
+	i := e.Random.IntN(len(near))
+	j := e.Random.IntN(len(near) - 1)
+	if j >= i {
+		j++
+	}
+	if near[j].cost < near[i].cost {
+		return near[j]
+	}
+	return near[i]
+}
+
+// canaryLeaf picks where a request with an unproven fingerprint runs first. All
+// entries of a failure domain pick the same leaf, so its aggregator sees all
+// canaries of a fingerprint and lets one run at a time.
+func (e *Engine) canaryLeaf(q *running) (candidate, int, bool) {
+	var names []string
+	var found []candidate
+	var shards []int
+	local := false
+	for shard := range q.shards {
+		for _, c := range e.candidates(q, shard) {
+			mine := c.leaf.domain == e.Domain
+			if mine && !local {
+				names, found, shards = names[:0], found[:0], shards[:0]
+				local = true
+			}
+			if mine == local {
+				names = append(names, c.leaf.name)
+				found = append(found, c)
+				shards = append(shards, shard)
+			}
+		}
+	}
+	i := place.Pick(names, q.key)
+	if i < 0 {
+		return candidate{}, 0, false
+	}
+	return found[i], shards[i], true
+}
+
+// proven remembers fingerprints that a leaf survived, in two generations so
+// that the memory is bounded and the recent ones stay.
+type proven struct {
+	young, old map[provenKey]struct{}
+}
+
+type provenKey struct {
+	fingerprint uint64
+	pin         invent.Pin
+}
+
+const provenMax = 32768
+
+func (p *proven) has(fingerprint uint64, pin invent.Pin) bool {
+	k := provenKey{fingerprint, pin}
+	if _, ok := p.young[k]; ok {
+		return true
+	}
+	_, ok := p.old[k]
+	return ok
+}
+
+func (p *proven) add(fingerprint uint64, pin invent.Pin) {
+	if p.young == nil || len(p.young) >= provenMax {
+		p.old, p.young = p.young, map[provenKey]struct{}{}
+	}
+	p.young[provenKey{fingerprint, pin}] = struct{}{}
+}
+
+func (p *proven) drop(fingerprint uint64) {
+	for _, m := range []map[provenKey]struct{}{p.young, p.old} {
+		for k := range m {
+			if k.fingerprint == fingerprint {
+				delete(m, k)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/share/fetch/fetch.go
@@ -0,0 +1,212 @@
+// Package fetch makes HTTP calls over nbhttp, one connection at a time, and
+// tells a connection that could not be opened from one that was lost: only the
+// first proves that nothing was run.
+package fetch
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// Errors of calls.
+var (
+	// ErrNotOpened: the connection could not be opened; nothing was sent.
+	ErrNotOpened = errors.New("connection was not opened")
+	// ErrLost: the connection broke after it was open. What was sent may have
+	// arrived.
+	ErrLost = errors.New("connection was lost")
+	// ErrTooLarge: the reply is larger than allowed.
+	ErrTooLarge = errors.New("reply is too large")
+)
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = time.Second
+
+// MaxReply is the largest reply taken, in bytes.
+const MaxReply = 4 << 20
+
+// Reply is a whole HTTP reply.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Engine drives the connections of a process.
+type Engine struct {
+	// Source is the IP that connections are opened from; empty leaves it to
+	// the system.
+	Source string
+
+	engine *nbhttp.Engine
+}
+
+// Start makes the engine ready.
+func (e *Engine) Start() error {
+	e.engine = nbhttp.NewEngine(nbhttp.Config{
+		Name: "fetch", NPoller: 2, MaxHTTPBodySize: MaxReply, SupportServerOnly: false,
+	})
+	return errors.Wrap(e.engine.Start(), "start http client")
+}
+
+// Close ends all connections and waits.
+func (e *Engine) Close() error {
+	if e.engine != nil {
+		e.engine.Stop()
+	}
+	return nil
+}
+
+// Conn is one connection, opened by its first call. It carries one call at a
+// time. After an error it is of no more use.
+type Conn struct {
+	Engine *Engine
+	// Address is the IP and port.
+	Address string
+
+	mu     sync.Mutex
+	client *nbhttp.ClientConn
+	opened bool
+	shut   bool
+}
+
+// Do sends a request and calls done once, from another goroutine. It may block
+// while the connection is opened.
+func (c *Conn) Do(r *http.Request, done func(Reply, error)) {
+	client, ok := c.start()
+	if !ok {
+		done(Reply{}, ErrNotOpened)
+		return
+	}
+	var once sync.Once
+	client.Do(r, func(res *http.Response, _ net.Conn, err error) {
+		once.Do(func() {
+			reply, err := c.read(res, err)
+			done(reply, err)
+		})
+	})
+}
+
+func (c *Conn) start() (*nbhttp.ClientConn, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		return nil, false
+	}
+	if c.client == nil {
+		c.client = &nbhttp.ClientConn{Engine: c.Engine.engine, Dial: c.dial}
+	}
+	return c.client, true
+}
+
+func (c *Conn) dial(network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, LocalAddr: SourceAddr(c.Engine.Source)}
+	conn, err := d.Dial(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.opened = true
+	return conn, nil
+}
+
+// SourceAddr is the local address to dial from, or nil to leave it open.
+func SourceAddr(ip string) net.Addr {
+	parsed := net.ParseIP(ip)
+	if parsed == nil || parsed.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: parsed}
+}
+
+func (c *Conn) read(res *http.Response, err error) (Reply, error) {
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.opened {
+			return Reply{}, errors.Mark(errors.Wrap(err, "open connection"), ErrNotOpened)
+		}
+		return Reply{}, errors.Mark(errors.Wrap(err, "call"), ErrLost)
+	}
+	reply := Reply{Status: res.StatusCode, Header: res.Header}
+	if res.Body == nil {
+		return reply, nil
+	}
+	defer func() { _ = res.Body.Close() }() // it is read to the end below
+	reply.Body, err = io.ReadAll(io.LimitReader(res.Body, MaxReply+1))
+	if err != nil {
+		return Reply{}, errors.Mark(errors.Wrap(err, "read reply"), ErrLost)
+	}
+	if len(reply.Body) > MaxReply {
+		return Reply{}, ErrTooLarge
+	}
+	return reply, nil
+}
+
+// Shut closes the connection. A call under way ends with ErrLost. It must not
+// be called from within done.
+func (c *Conn) Shut() {
+	c.mu.Lock()
+	client := c.client
+	c.shut = true
+	c.mu.Unlock()
+	if client != nil {
+		client.Close()
+	}
+}
+
+// Request builds a request with a body; empty for none.
+func Request(method, address, path string, body []byte) (*http.Request, error) {
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	if len(body) > 0 {
+		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	return r, nil
+}
+
+// Get makes one call over a connection of its own and waits for it.
+func Get(e *Engine, address, path string, timeout time.Duration) (Reply, error) {
+	return Call(e, http.MethodGet, address, path, nil, timeout)
+}
+
+// Call makes one call over a connection of its own and waits for it.
+func Call(e *Engine, method, address, path string, body []byte, timeout time.Duration) (Reply, error) {
+	r, err := Request(method, address, path, body)
+	if err != nil {
+		return Reply{}, err
+	}
+	return CallRequest(e, address, r, timeout)
+}
+
+// CallRequest sends a request over a connection of its own and waits for it.
+func CallRequest(e *Engine, address string, r *http.Request, timeout time.Duration) (Reply, error) {
+	c := &Conn{Engine: e, Address: address}
+	type result struct {
+		reply Reply
+		err   error
+	}
+	got := make(chan result, 1)
+	go c.Do(r, func(reply Reply, err error) { got <- result{reply, err} })
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	defer c.Shut()
+	select {
+	case g := <-got:
+		return g.reply, g.err
+	case <-timer.C:
+		return Reply{}, errors.Mark(errors.Newf("no reply within %s", timeout), ErrLost)
+	}
+}
--- /dev/null
+++ b/share/gate/gate.go
@@ -0,0 +1,440 @@
+// Package gate decides, in an aggregator, which calls go to which leaf and
+// when. It holds each leaf's slots and connections, warms cold leafs up, stops
+// work to leafs that drain or fail, and queues briefly. It is a state machine
+// without I/O: events go in with the time, actions come out.
+package gate
+
+import (
+	"sort"
+
+	"dandelionstile/share/clock"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/place"
+	"dandelionstile/share/poison"
+	"dandelionstile/share/query"
+)
+
+// Key names a call within one aggregator: the link it came on, and its id
+// there.
+type Key struct {
+	Link uint64
+	ID   uint64
+}
+
+// ConnID names one connection to a leaf.
+type ConnID uint64
+
+// Call is one request for one leaf.
+type Call struct {
+	Key  Key
+	Leaf string
+	// Caller is who asked, for fairness between callers.
+	Caller string
+	// Deadline is when the answer is of no more use.
+	Deadline    clock.Milli
+	Fingerprint uint64
+	Canary      bool
+	// Request is what the program sends; the engine does not look at it.
+	Request any
+}
+
+// Action is something for the program to do; one of the types below.
+type Action interface{ action() }
+
+// Send puts a call on a connection, which the program opens when Fresh is set.
+type Send struct {
+	Leaf  string
+	Conn  ConnID
+	Fresh bool
+	Call  Call
+}
+
+// Probe asks a leaf for its state over a connection.
+type Probe struct {
+	Leaf  string
+	Conn  ConnID
+	Fresh bool
+}
+
+// Abort asks a leaf, over an idle connection, to stop working on a call. It
+// is answered like a probe.
+type Abort struct {
+	Leaf string
+	Conn ConnID
+	Call Call
+}
+
+// Shut closes a connection. Its call, if any, has been answered already.
+type Shut struct {
+	Leaf   string
+	Conn   ConnID
+	Reason query.Reason
+}
+
+// Reply gives a call its final outcome.
+type Reply struct {
+	Key     Key
+	Outcome query.Outcome
+}
+
+// Publish tells the entries about a leaf whose state changed.
+type Publish struct{ Feedback query.Feedback }
+
+// Claim asks the other candidate for servers to leave them to this host.
+type Claim struct {
+	Host    string
+	ID      uint64
+	Servers []ServerAges
+}
+
+// Grant answers a claim.
+type Grant struct {
+	Host    string
+	ID      uint64
+	Servers []ServerAges
+	Span    clock.Milli
+}
+
+// Struck says that a request brought down a server.
+type Struck struct{ Strike poison.Strike }
+
+// Note reports a change of a leaf's state for the log.
+type Note struct {
+	Leaf  string
+	Event string
+	Cause string
+}
+
+func (Send) action()    {}
+func (Probe) action()   {}
+func (Shut) action()    {}
+func (Abort) action()   {}
+func (Reply) action()   {}
+func (Publish) action() {}
+func (Claim) action()   {}
+func (Grant) action()   {}
+func (Struck) action()  {}
+func (Note) action()    {}
+
+// Policy varies how the gate behaves; zero fields take the defaults. The bench
+// compares settings.
+type Policy struct {
+	// QueuePerSlot bounds the calls waiting for a leaf, per slot.
+	QueuePerSlot int
+	// Order picks the next waiting call.
+	Order Order
+	// NoRamp sends a cold leaf full load at once. Only the bench's baseline
+	// sets it.
+	NoRamp bool
+	// NoFair takes waiting calls regardless of who asked.
+	NoFair bool
+	// SilentAfter is how long a connection with a call may make no progress.
+	SilentAfter clock.Milli
+}
+
+// Order is the order of a leaf's queue.
+type Order uint8
+
+// The orders.
+const (
+	OrderDeadline Order = iota
+	OrderOldest
+	OrderNewest
+)
+
+// Defaults and timing.
+const (
+	defaultQueuePerSlot             = 4
+	defaultSilent       clock.Milli = 1000
+	// probeEvery is the pause between two probes of one leaf.
+	probeEvery = clock.Second
+	// probeTimeout is how long a probe may take.
+	probeTimeout = clock.Second
+	// pauseGap is a gap between two ticks that is taken as a pause of the
+	// whole process.
+	pauseGap = clock.Second
+	// fenceSpan is how long after a pause new work waits for news of the
+	// configuration, when none comes.
+	fenceSpan = clock.Second
+)
+
+// Engine decides for all leafs of one aggregator. Fields are set before the
+// first call. It is used from one goroutine.
+type Engine struct {
+	// Self is this host's name; Domain its failure domain.
+	Self   string
+	Domain string
+	Policy Policy
+
+	leafs    map[string]*leaf
+	order    []*leaf // by name
+	calls    map[Key]*call
+	strikes  poison.Table
+	canaries map[uint64]Key
+	leases   leases
+	lastConn ConnID
+	lastTick clock.Milli
+	fenced   clock.Milli // no new work before this time
+	leaving  bool
+}
+
+// leaf is everything known of one leaf.
+type leaf struct {
+	invent.Leaf
+	server  string
+	service string
+	address string
+	rank    int // this host's place among the server's candidates; -1: none
+	warm    clock.Milli
+	cap     int // slots by the inventory and the carry rule
+	out     query.Reason
+
+	conns   map[ConnID]*conn
+	busy    int
+	queue   []*call
+	holds   []invent.Pin
+	ramp    ramp
+	health  health
+	feeding query.Feedback // as last published
+}
+
+type conn struct {
+	id     ConnID
+	call   *call // nil when idle
+	probe  bool
+	since  clock.Milli // when the call or probe was sent
+	used   clock.Milli // when it last made progress
+	opened bool
+}
+
+type call struct {
+	Call
+	leaf    *leaf
+	arrived clock.Milli
+	conn    ConnID // 0 while it waits
+	// answered: the entry has its outcome, though the leaf may still work.
+	answered bool
+}
+
+// Configure puts a configuration and a host list in force. Calls that wait for
+// a leaf that is now out are answered at once.
+func (e *Engine) Configure(now clock.Milli, cfg *invent.Config, hosts []invent.Host) []Action {
+	e.init(now)
+	var out []Action
+	next := map[string]*leaf{}
+	for _, s := range cfg.Inventory.Servers {
+		if s.Domain != e.Domain {
+			continue
+		}
+		owners := place.Owners(hosts, s.Domain, s.Name, place.Candidates)
+		rank := rankOf(owners, e.Self)
+		e.leases.place(s.Name, other(owners, e.Self))
+		if rank < 0 && !e.serves(s) {
+			continue
+		}
+		service, _ := cfg.Service(s.Service)
+		for _, l := range s.Leafs {
+			f := e.leafs[l.Name]
+			if f == nil {
+				f = &leaf{conns: map[ConnID]*conn{}}
+				f.ramp.begin(now, false)
+			}
+			f.Leaf, f.server, f.service, f.address, f.rank = l, s.Name, s.Service, s.Address, rank
+			f.warm, f.cap = service.Warm, l.Slots
+			f.out = query.ReasonNone
+			if cfg.DomainOut(s.Domain) {
+				f.out = query.ReasonDomainOut
+			}
+			if rule, ok := cfg.CarryFor(s.Name); ok {
+				if rule.Slots > 0 {
+					f.cap = min(f.cap, rule.Slots)
+				}
+				if rule.Out {
+					f.out = query.ReasonServerOut
+				}
+			}
+			next[l.Name] = f
+		}
+	}
+	for _, f := range e.order {
+		if next[f.Name] == nil {
+			out = append(out, e.drop(now, f)...)
+		}
+	}
+	e.leafs = next
+	e.order = e.order[:0]
+	for _, f := range next {
+		e.order = append(e.order, f)
+	}
+	sort.Slice(e.order, func(i, j int) bool { return e.order[i].Name < e.order[j].Name })
+	for _, f := range e.order {
+		if f.out != query.ReasonNone {
+			out = append(out, e.flush(now, f, f.out)...)
+		}
+		out = append(out, e.publish(f, now)...)
+	}
+	return out
+}
+
+func (e *Engine) init(now clock.Milli) {
+	if e.leafs == nil {
+		e.leafs = map[string]*leaf{}
+		e.calls = map[Key]*call{}
+		e.canaries = map[uint64]Key{}
+		e.lastTick = now
+	}
+}
+
+// serves tells whether calls are still at a server's leafs. Such a server is
+// kept until they are done, though this host no longer owns it.
+func (e *Engine) serves(s invent.Server) bool {
+	for _, l := range s.Leafs {
+		if f := e.leafs[l.Name]; f != nil && f.busy > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func rankOf(owners []invent.Host, self string) int {
+	for i, h := range owners {
+		if h.Name == self {
+			return i
+		}
+	}
+	return -1
+}
+
+// other returns the first candidate that is not self.
+func other(owners []invent.Host, self string) string {
+	for _, h := range owners {
+		if h.Name != self {
+			return h.Name
+		}
+	}
+	return ""
+}
+
+// drop lets go of a leaf that this host no longer serves.
+func (e *Engine) drop(now clock.Milli, f *leaf) []Action {
+	out := e.flush(now, f, query.ReasonNotOwner)
+	for _, c := range f.sorted() {
+		if c.call == nil {
+			out = append(out, Shut{Leaf: f.Name, Conn: c.id, Reason: query.ReasonNotOwner})
+			delete(f.conns, c.id)
+		}
+	}
+	return out
+}
+
+// flush answers every waiting call of a leaf as not run.
+func (e *Engine) flush(now clock.Milli, f *leaf, why query.Reason) []Action {
+	var out []Action
+	waiting := f.queue
+	f.queue = nil
+	for _, c := range waiting {
+		out = append(out, e.finish(now, c, query.Outcome{Kind: query.NotRun, Reason: why})...)
+	}
+	return out
+}
+
+func (f *leaf) sorted() []*conn {
+	list := make([]*conn, 0, len(f.conns))
+	for _, c := range f.conns {
+		list = append(list, c)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
+	return list
+}
+
+// share is how many of a leaf's connections this host may hold. The shares of
+// all candidates sum to no more than the leaf accepts, so two hosts that both
+// believe themselves primary cannot exceed it together.
+func (f *leaf) share() int { return max(1, f.Connections/place.Candidates) }
+
+// Leave stops the host from owning anything new: it answers what it has and
+// takes no more.
+func (e *Engine) Leave() { e.leaving = true }
+
+// Idle tells whether no call is waiting or at a leaf.
+func (e *Engine) Idle() bool { return len(e.calls) == 0 }
+
+// Strikes lists the requests refused now.
+func (e *Engine) Strikes(now clock.Milli) []poison.Strike { return e.strikes.Strikes(now) }
+
+// Strike takes a strike from another host and tells whether it was news.
+// Waiting calls with that fingerprint are answered as not run.
+func (e *Engine) Strike(now clock.Milli, s poison.Strike) (bool, []Action) {
+	e.init(now)
+	if !e.strikes.Merge(now, s) {
+		return false, nil
+	}
+	if _, blocked := e.strikes.Blocked(now, s.Fingerprint); !blocked {
+		return true, nil
+	}
+	return true, e.purge(now, s.Fingerprint)
+}
+
+// HostLeaving says that another host is on its way out: promises to keep off
+// its leafs end, except where a leaf is cold and may still have its work.
+func (e *Engine) HostLeaving(now clock.Milli, host string) {
+	e.init(now)
+	for _, f := range e.order {
+		if e.leases.other[f.server] == host && f.ramp.left(now, f.warm) == 0 {
+			delete(e.leases.given, f.server)
+		}
+	}
+}
+
+// purge answers the waiting calls of a fingerprint.
+func (e *Engine) purge(now clock.Milli, fingerprint uint64) []Action {
+	var out []Action
+	for _, f := range e.order {
+		kept := f.queue[:0]
+		var gone []*call
+		for _, c := range f.queue {
+			if c.Fingerprint == fingerprint {
+				gone = append(gone, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		f.queue = kept
+		for _, c := range gone {
+			out = append(out, e.finish(now, c, query.Outcome{Kind: query.NotRun, Reason: query.ReasonQuarantined})...)
+		}
+	}
+	return out
+}
+
+// LeafState is a leaf as operators see it.
+type LeafState struct {
+	Leaf       string
+	Server     string
+	Service    string
+	Primary    bool
+	Exclusive  bool
+	Busy       int
+	Queued     int
+	Limit      int
+	Slots      int
+	Conns      int
+	RampLeft   clock.Milli
+	Closed     query.Reason
+	Incarnates uint64
+}
+
+// State lists all leafs by name.
+func (e *Engine) State(now clock.Milli) []LeafState {
+	list := make([]LeafState, 0, len(e.order))
+	for _, f := range e.order {
+		list = append(list, LeafState{
+			Leaf: f.Name, Server: f.server, Service: f.service,
+			Primary: f.rank == 0, Exclusive: e.leases.exclusive(now, f.server),
+			Busy: f.busy, Queued: len(f.queue), Limit: e.limit(now, f), Slots: f.cap,
+			Conns: len(f.conns), RampLeft: f.ramp.left(now, f.warm),
+			Closed: e.closed(now, f), Incarnates: f.health.incarnation,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/share/httpd/httpd.go
@@ -0,0 +1,161 @@
+// Package httpd serves HTTP by nbhttp, with limits on bodies, headers,
+// connections and time.
+package httpd
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"dandelionstile/share/clock"
+)
+
+// Errors of reading a request.
+var (
+	// ErrTooLarge: the body is over the limit.
+	ErrTooLarge = errors.New("body is too large")
+	// ErrSyntax: the body is not the JSON that was expected.
+	ErrSyntax = errors.New("body is not valid")
+)
+
+// Defaults of Server.
+const (
+	// DefaultMaxBody is the largest request body, in bytes.
+	DefaultMaxBody = 1 << 20
+	// hardBody is where the connection is cut instead of answered.
+	hardBody      = 8 << 20
+	defaultConns  = 10000
+	readLimit     = 64 << 10
+	idleTime      = 2 * time.Minute
+	writeTimeout  = 10 * time.Second
+	handlersAtAll = 8192
+)
+
+func init() { logging.SetLevel(logging.LevelNone) }
+
+// Server serves a handler on one address. Fields are set before Start.
+type Server struct {
+	// Address is the IP and port to listen on; port 0 picks one.
+	Address  string
+	Handler  http.Handler
+	MaxConns int
+
+	engine *nbhttp.Engine
+	addr   net.Addr
+	active sync.WaitGroup
+}
+
+// Start listens and serves.
+func (s *Server) Start() error {
+	conns := s.MaxConns
+	if conns == 0 {
+		conns = defaultConns
+	}
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Name: "httpd", Network: "tcp", Addrs: []string{s.Address},
+		MaxLoad: conns, MaxHTTPBodySize: hardBody, ReadLimit: readLimit,
+		KeepaliveTime: idleTime, WriteTimeout: writeTimeout, NPoller: 2,
+		MessageHandlerPoolSize: handlersAtAll,
+		Handler:                http.HandlerFunc(s.serve),
+		Listen: func(network, addr string) (net.Listener, error) {
+			ln, err := net.Listen(network, addr)
+			if err == nil {
+				s.addr = ln.Addr()
+			}
+			return ln, err
+		},
+	})
+	return errors.Wrapf(s.engine.Start(), "listen on %s", s.Address)
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Done()
+	s.Handler.ServeHTTP(w, r)
+}
+
+// Addr is the address in use.
+func (s *Server) Addr() string {
+	if s.addr == nil {
+		return s.Address
+	}
+	return s.addr.String()
+}
+
+// Close waits for the requests in flight and stops. No request may arrive any
+// more, or it is cut.
+func (s *Server) Close() error {
+	if s.engine == nil {
+		return nil
+	}
+	s.active.Wait()
+	s.engine.Stop()
+	return nil
+}
+
+// ReadJSON reads a whole body into v. Unknown fields are faults: a misspelt
+// field would otherwise be ignored in silence.
+func ReadJSON(r *http.Request, limit int64, v any) error {
+	if r.ContentLength > limit {
+		return ErrTooLarge
+	}
+	body := io.Reader(http.NoBody)
+	if r.Body != nil {
+		body = r.Body
+	}
+	d := json.NewDecoder(io.LimitReader(body, limit+1))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return errors.Mark(err, ErrSyntax)
+	}
+	if d.InputOffset() > limit {
+		return ErrTooLarge
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.Mark(errors.New("more than one JSON value"), ErrSyntax)
+	}
+	return nil
+}
+
+// WriteJSON answers with v.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, "encoding failed", http.StatusInternalServerError)
+		return
+	}
+	body = append(body, '\n')
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a caller that is gone is no fault of ours
+}
+
+// RetryAfter sets the header that says when to come back, in whole seconds as
+// HTTP has it, and at least one.
+func RetryAfter(w http.ResponseWriter, wait clock.Milli) {
+	seconds := max(1, (wait+clock.Second-1)/clock.Second)
+	w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+}
+
+// Status is the body of health checks.
+type Status struct {
+	Status string `json:"status"`
+}
+
+// WriteReady answers a readiness check.
+func WriteReady(w http.ResponseWriter, ready bool) {
+	if ready {
+		WriteJSON(w, http.StatusOK, Status{Status: "ready"})
+		return
+	}
+	WriteJSON(w, http.StatusServiceUnavailable, Status{Status: "not-ready"})
+}
--- /dev/null
+++ b/share/logs/logs.go
@@ -0,0 +1,20 @@
+// Package logs makes the programs' loggers.
+package logs
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes JSON lines of a level and above. The program
+// and host stand on every line.
+func New(w io.Writer, level, program, host string) (zerolog.Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Wrapf(err, "log level %q", level)
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	return zerolog.New(w).Level(l).With().Timestamp().Str("program", program).Str("host", host).Logger(), nil
+}
--- /dev/null
+++ b/share/meter/meter.go
@@ -0,0 +1,91 @@
+// Package meter counts what the programs do, by tally, and serves the counts in
+// Prometheus' form. Labels come from the inventory and from fixed lists, never
+// from callers, so their number is bounded.
+package meter
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportEvery is how often tally hands its counts on.
+const reportEvery = time.Second
+
+// Meter is the root of a program's metrics. The zero value counts nothing.
+type Meter struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter prometheus.Reporter
+}
+
+// New returns a meter for a program.
+func New(program string) *Meter {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry, Gatherer: registry,
+		OnRegisterError: func(error) {}, // a clash of names costs one metric, not the program
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "dandelionstile", Tags: map[string]string{"program": program},
+		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		// tally's metrics about itself would double the page.
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	return &Meter{scope: scope, closer: closer, reporter: reporter}
+}
+
+// Label is one label of a metric.
+type Label struct{ Name, Value string }
+
+func (m *Meter) tagged(labels []Label) tally.Scope {
+	if m == nil || m.scope == nil {
+		return tally.NoopScope
+	}
+	if len(labels) == 0 {
+		return m.scope
+	}
+	tags := make(map[string]string, len(labels))
+	for _, l := range labels {
+		tags[l.Name] = l.Value
+	}
+	return m.scope.Tagged(tags)
+}
+
+// Count adds to a counter.
+func (m *Meter) Count(name string, n int64, labels ...Label) {
+	m.tagged(labels).Counter(name).Inc(n)
+}
+
+// Gauge sets a gauge.
+func (m *Meter) Gauge(name string, v float64, labels ...Label) {
+	m.tagged(labels).Gauge(name).Update(v)
+}
+
+// latencyBuckets are the bounds of latency histograms.
+var latencyBuckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
+	20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// Latency records a time in a histogram.
+func (m *Meter) Latency(name string, d time.Duration, labels ...Label) {
+	m.tagged(labels).Histogram(name, latencyBuckets).RecordDuration(d)
+}
+
+// Handler serves the metrics page.
+func (m *Meter) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Close reports what is left and waits.
+func (m *Meter) Close() error {
+	if m == nil || m.closer == nil {
+		return nil
+	}
+	return m.closer.Close()
+}
--- /dev/null
+++ b/share/node/loop.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"dandelionstile/share/clock"
+)
+
+// loopQueue is how many messages wait for the control loop before those who
+// post are held up.
+const loopQueue = 4096
+
+// Loop is a program's control loop: one goroutine that owns all state and
+// takes typed messages in order, so the state needs no locks.
+type Loop[M any] struct {
+	// Clock is read once per message.
+	Clock clock.Clock
+
+	messages chan M
+	done     chan struct{}
+	once     sync.Once
+	wait     sync.WaitGroup
+}
+
+// Start runs handle for each message until Close.
+func (l *Loop[M]) Start(handle func(now clock.Milli, m M)) {
+	l.messages = make(chan M, loopQueue)
+	l.done = make(chan struct{})
+	l.wait.Go(func() {
+		for {
+			select {
+			case <-l.done:
+				return
+			case m := <-l.messages:
+				handle(l.Clock.Now(), m)
+			}
+		}
+	})
+}
+
+// Post hands a message to the loop. It waits while the loop is behind, and
+// tells whether the loop still runs.
+func (l *Loop[M]) Post(m M) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
+	select {
+	case l.messages <- m:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Every posts a message again and again. One that finds the loop behind is
+// left out: a late tick needs no twin.
+func (l *Loop[M]) Every(d time.Duration, m M) {
+	l.wait.Go(func() {
+		tick := time.NewTicker(d)
+		defer tick.Stop()
+		for {
+			select {
+			case <-l.done:
+				return
+			case <-tick.C:
+				select {
+				case l.messages <- m:
+				default:
+				}
+			}
+		}
+	})
+}
+
+// Close stops the loop and waits for it.
+func (l *Loop[M]) Close() error {
+	l.once.Do(func() { close(l.done) })
+	l.wait.Wait()
+	return nil
+}
--- /dev/null
+++ b/share/node/platform.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/share/fetch"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/spread"
+)
+
+// Keys of what spreads between hosts.
+const (
+	KeyConfig = "config"
+	// KeyHosts starts the key of a failure domain's host list.
+	KeyHosts = "hosts/"
+	// manifestItem is the manifest's name within the config set.
+	manifestItem = "manifest"
+)
+
+// Timing of reads.
+const (
+	readTimeout  = 3 * time.Second
+	watchTimeout = 30 * time.Second
+)
+
+// ErrPlatform marks failed reads of the platform.
+var ErrPlatform = errors.New("platform")
+
+// platform reads the platform's configuration service and host lists. It
+// remembers the parts of the last configuration, so that only changed ones are
+// read again.
+type platform struct {
+	engine  *fetch.Engine
+	address string
+
+	mu    sync.Mutex
+	parts map[string][]byte // by hash
+}
+
+// read gets a whole set for a key.
+func (p *platform) read(r spread.ReadPlatform) (*spread.Set, error) {
+	if r.Key == KeyConfig {
+		return p.readConfig(r)
+	}
+	body, err := p.get(r.Key, r)
+	if err != nil || body == nil {
+		return nil, err
+	}
+	list, err := invent.ParseHosts(body)
+	if err != nil {
+		return nil, errors.Mark(err, ErrPlatform)
+	}
+	return HostSet(list), nil
+}
+
+// HostSet makes a set of a host list, one item a host, so that a change of one
+// host travels as one item.
+func HostSet(list invent.HostList) *spread.Set {
+	items := make([]spread.Item, len(list.Hosts))
+	for i, h := range list.Hosts {
+		items[i] = spread.Item{
+			Name: h.Name,
+			Body: invent.HostList{Version: 1, Hosts: []invent.Host{h}}.Encode(),
+		}
+	}
+	return spread.NewSet(list.Version, items)
+}
+
+// Hosts reads a set back into a host list.
+func Hosts(s *spread.Set) ([]invent.Host, error) {
+	hosts := make([]invent.Host, 0, len(s.Items))
+	for _, it := range s.Sorted() {
+		list, err := invent.ParseHosts(it.Body)
+		if err != nil {
+			return nil, err
+		}
+		hosts = append(hosts, list.Hosts...)
+	}
+	return hosts, nil
+}
+
+func (p *platform) readConfig(r spread.ReadPlatform) (*spread.Set, error) {
+	body, err := p.get(manifestItem, r)
+	if err != nil || body == nil {
+		return nil, err
+	}
+	m, err := invent.ParseManifest(body)
+	if err != nil {
+		return nil, errors.Mark(err, ErrPlatform)
+	}
+	if r.After != 0 && m.Version < r.After {
+		return nil, nil // stale; its parts are not worth reading
+	}
+	parts := make([]invent.Part, 0, len(m.Parts))
+	for _, ref := range m.Parts {
+		body, err := p.part(ref.Hash)
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, invent.Part{Name: ref.Name, Body: body})
+	}
+	p.keep(parts)
+	return ConfigSet(m.Version, parts), nil
+}
+
+// ConfigSet makes a set of the operators' files.
+func ConfigSet(version uint64, parts []invent.Part) *spread.Set {
+	items := make([]spread.Item, len(parts))
+	for i, part := range parts {
+		items[i] = spread.Item(part)
+	}
+	return spread.NewSet(version, items)
+}
+
+// ParseConfig reads a set back into a configuration.
+func ParseConfig(s *spread.Set) (*invent.Config, error) {
+	parts := make([]invent.Part, 0, len(s.Items))
+	for _, it := range s.Sorted() {
+		parts = append(parts, invent.Part(it))
+	}
+	return invent.Parse(s.Version, parts)
+}
+
+func (p *platform) part(hash string) ([]byte, error) {
+	p.mu.Lock()
+	body, ok := p.parts[hash]
+	p.mu.Unlock()
+	if ok {
+		return body, nil
+	}
+	body, err := p.get("part/"+hash, spread.ReadPlatform{})
+	if err != nil {
+		return nil, err
+	}
+	if got := (invent.Part{Body: body}).Hash(); got != hash {
+		return nil, errors.Mark(errors.Newf("part %s arrived as %s", hash, got), ErrPlatform)
+	}
+	return body, nil
+}
+
+// keep remembers the parts of one configuration and drops all others.
+func (p *platform) keep(parts []invent.Part) {
+	byHash := make(map[string][]byte, len(parts))
+	for _, part := range parts {
+		byHash[part.Hash()] = part.Body
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.parts = byHash
+}
+
+// get reads one value. A watch that ends without news returns nil.
+func (p *platform) get(key string, r spread.ReadPlatform) ([]byte, error) {
+	path := "/v1/values/" + url.PathEscape(key)
+	timeout := readTimeout
+	if r.Watch {
+		path += fmt.Sprintf("?after=%s&wait-ms=%d", strconv.FormatUint(r.After, 10), watchTimeout.Milliseconds())
+		timeout += watchTimeout
+	}
+	reply, err := fetch.Get(p.engine, p.address, path, timeout)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "read %s", key), ErrPlatform)
+	}
+	switch reply.Status {
+	case 200:
+		return reply.Body, nil
+	case 304:
+		return nil, nil
+	}
+	return nil, errors.Mark(errors.Newf("read %s: status %d", key, reply.Status), ErrPlatform)
+}
--- /dev/null
+++ b/share/node/settings.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/share/conf"
+)
+
+// Settings of what the programs have in common. Each program's file embeds the
+// sections below and adds its own.
+type Settings struct {
+	Host     HostSettings
+	Listen   ListenSettings
+	Platform PlatformSettings
+	// Peers are the link addresses of aggregators to start from, before a host
+	// list is known.
+	Peers []string
+	Log   LogSettings
+	Trace TraceSettings
+	TLS   TLSSettings
+}
+
+// fileSettings is the file's form of Settings.
+type fileSettings struct {
+	Host     fileHost     `yaml:"host" validate:"required"`
+	Listen   fileListen   `yaml:"listen" validate:"required"`
+	Platform filePlatform `yaml:"platform" validate:"required"`
+	Peers    []string     `yaml:"peers" validate:"dive,hostname_port"`
+	Log      fileLog      `yaml:"log"`
+	Trace    fileTrace    `yaml:"trace"`
+	TLS      fileTLS      `yaml:"tls"`
+}
+
+// Load reads and checks a settings file. With a fault in it nothing is taken.
+func Load(path string) (Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	var f fileSettings
+	src, err := conf.Decode(path, body, &f)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := Settings{
+		Host: HostSettings(f.Host), Listen: f.Listen.settings(), Platform: PlatformSettings(f.Platform),
+		Peers: f.Peers, Log: f.Log.settings(), Trace: TraceSettings(f.Trace), TLS: TLSSettings(f.TLS),
+	}
+	return s, s.TLS.check(src).Err()
+}
--- /dev/null
+++ b/share/node/settings_host.go
@@ -0,0 +1,14 @@
+package node
+
+// HostSettings name the host that the process runs on.
+type HostSettings struct {
+	// Name is the host's name as in the platform's host list.
+	Name string
+	// Domain is the failure domain that the host is in.
+	Domain string
+}
+
+type fileHost struct {
+	Name   string `yaml:"name" validate:"required"`
+	Domain string `yaml:"failure-domain" validate:"required"`
+}
--- /dev/null
+++ b/share/node/settings_trace.go
@@ -0,0 +1,14 @@
+package node
+
+// TraceSettings choose which traces are written, and where.
+type TraceSettings struct {
+	// File takes the spans; empty turns tracing off.
+	File string
+	// Ratio is the share of requests traced, from 0 to 1.
+	Ratio float64
+}
+
+type fileTrace struct {
+	File  string  `yaml:"file"`
+	Ratio float64 `yaml:"ratio" validate:"gte=0,lte=1"`
+}
--- /dev/null
+++ b/share/place/place.go
@@ -0,0 +1,171 @@
+// Package place assigns leafs to aggregators by rendezvous hashing. Every host
+// that has the same host list finds the same owners without exchanging a
+// message, and a host that comes or goes moves only its own share.
+package place
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandelionstile/share/invent"
+)
+
+// Candidates is how many hosts may ever serve one backend server under one host
+// list: the primary and its standby.
+const Candidates = 2
+
+// Owners returns the hosts for a backend server, best first, at most n. Only
+// hosts in the server's own failure domain qualify, so that a domain that has
+// been cut off still owns what it can reach. Leaving hosts come after all
+// others, so they hand over before they go.
+func Owners(hosts []invent.Host, domain, server string, n int) []invent.Host {
+	type ranked struct {
+		host   invent.Host
+		weight uint64
+	}
+	var rank []ranked
+	for _, h := range hosts {
+		if h.Domain != domain {
+			continue
+		}
+		rank = append(rank, ranked{host: h, weight: weight(h.Name, server)})
+	}
+	sort.Slice(rank, func(i, j int) bool {
+		a, b := rank[i], rank[j]
+		if a.host.Leaving != b.host.Leaving {
+			return b.host.Leaving
+		}
+		if a.weight != b.weight {
+			return a.weight > b.weight
+		}
+		return a.host.Name < b.host.Name
+	})
+	n = min(n, len(rank))
+	owners := make([]invent.Host, n)
+	for i := range owners {
+		owners[i] = rank[i].host
+	}
+	return owners
+}
+
+// weight is the rendezvous weight of a host for a key.
+func weight(host, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(host)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return mix(d.Sum64())
+}
+
+// mix spreads the bits once more: without it, keys that differ only in a last
+// digit rank hosts alike more often than chance.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// Pick returns the index of the best of the names for a key, or -1 when there
+// are none. All hosts agree on it when they agree on the names.
+func Pick(names []string, key string) int {
+	best := -1
+	var top uint64
+	for i, n := range names {
+		w := weight(n, key)
+		if best < 0 || w > top || (w == top && n < names[best]) {
+			best, top = i, w
+		}
+	}
+	return best
+}
+
+// Network says how a host chooses its links to other aggregators.
+type Network struct {
+	Self   string
+	Domain string
+	// Small is how many hosts all link to all.
+	Small int
+	// Near and Far are how many links a host of a larger fleet keeps within
+	// its failure domain and beyond.
+	Near, Far int
+}
+
+// Neighbours lists the link addresses of the aggregators to keep links to. In a
+// large fleet each host picks its own few by rendezvous, which makes a random
+// graph: news crosses it in a few steps, and every host has about as many links.
+func Neighbours(n Network, cfg *invent.Config, hosts []invent.Host) []string {
+	picked := map[string]string{}
+	if len(hosts) <= n.Small {
+		for _, h := range hosts {
+			picked[h.Name] = h.Aggregator
+		}
+	} else {
+		n.pick(picked, hosts)
+		n.partners(picked, cfg, hosts)
+	}
+	addrs := make([]string, 0, len(picked))
+	for _, a := range picked {
+		addrs = append(addrs, a)
+	}
+	sort.Strings(addrs)
+	return addrs
+}
+
+func (n Network) pick(picked map[string]string, hosts []invent.Host) {
+	type ranked struct {
+		host   invent.Host
+		weight uint64
+	}
+	var near, far []ranked
+	for _, h := range hosts {
+		if h.Name == n.Self {
+			picked[h.Name] = h.Aggregator // the entry's own host
+			continue
+		}
+		r := ranked{h, weight(h.Name, "link "+n.Self)}
+		if h.Domain == n.Domain {
+			near = append(near, r)
+		} else {
+			far = append(far, r)
+		}
+	}
+	take := func(list []ranked, most int) {
+		sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
+		for i := range min(most, len(list)) {
+			picked[list[i].host.Name] = list[i].host.Aggregator
+		}
+	}
+	take(near, n.Near)
+	take(far, n.Far)
+}
+
+// partners adds the other candidates of the servers that this host may serve:
+// the two have leases to exchange.
+func (n Network) partners(picked map[string]string, cfg *invent.Config, hosts []invent.Host) {
+	var local []invent.Host
+	for _, h := range hosts {
+		if h.Domain == n.Domain {
+			local = append(local, h)
+		}
+	}
+	for _, s := range cfg.Inventory.Servers {
+		if s.Domain != n.Domain {
+			continue
+		}
+		owners := Owners(local, s.Domain, s.Name, Candidates)
+		mine := false
+		for _, h := range owners {
+			mine = mine || h.Name == n.Self
+		}
+		for _, h := range owners {
+			if mine {
+				picked[h.Name] = h.Aggregator
+			}
+		}
+	}
+}
--- /dev/null
+++ b/share/spans/spans.go
@@ -0,0 +1,118 @@
+// Package spans records a trace span per hop. Spans go to a file, one JSON
+// object a line, as OpenTelemetry's stdout exporter writes them.
+package spans
+
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+	api "go.opentelemetry.io/otel/trace"
+)
+
+// Tracer makes spans. The zero value makes spans that go nowhere.
+type Tracer struct {
+	provider *trace.TracerProvider
+	tracer   api.Tracer
+	file     *os.File
+}
+
+// New returns a tracer that writes a share of all traces to a file. An empty
+// path turns tracing off.
+func New(path, program, host string, ratio float64) (*Tracer, error) {
+	if path == "" {
+		return &Tracer{}, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open trace file")
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	if err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "make trace exporter"), file.Close())
+	}
+	res := resource.NewSchemaless(
+		attribute.String("service.name", "dandelionstile-"+program),
+		attribute.String("host.name", host),
+	)
+	p := trace.NewTracerProvider(
+		trace.WithBatcher(exporter),
+		trace.WithResource(res),
+		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(ratio))),
+	)
+	return &Tracer{provider: p, tracer: p.Tracer("dandelionstile"), file: file}, nil
+}
+
+// Span is one hop's part of a trace. The zero value records nothing.
+type Span struct {
+	span api.Span
+	ctx  context.Context
+}
+
+// Start begins a span below the parent that a traceparent text names; with
+// none, a new trace.
+func (t *Tracer) Start(parent, name string, attrs ...attribute.KeyValue) Span {
+	if t == nil || t.tracer == nil {
+		return Span{}
+	}
+	ctx := context.Background()
+	if parent != "" {
+		ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{"traceparent": parent})
+	}
+	ctx, span := t.tracer.Start(ctx, name, api.WithAttributes(attrs...))
+	return Span{span: span, ctx: ctx}
+}
+
+// Parent is the text that names this span as a parent; empty when it is not
+// recorded.
+func (s Span) Parent() string {
+	if s.span == nil || !s.span.SpanContext().IsSampled() {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(s.ctx, carrier)
+	return carrier["traceparent"]
+}
+
+// Trace is the trace's id, or empty.
+func (s Span) Trace() string {
+	if s.span == nil {
+		return ""
+	}
+	return s.span.SpanContext().TraceID().String()
+}
+
+// Event adds a decision to the span.
+func (s Span) Event(name string, attrs ...attribute.KeyValue) {
+	if s.span != nil {
+		s.span.AddEvent(name, api.WithAttributes(attrs...))
+	}
+}
+
+// Set adds attributes.
+func (s Span) Set(attrs ...attribute.KeyValue) {
+	if s.span != nil {
+		s.span.SetAttributes(attrs...)
+	}
+}
+
+// End ends the span.
+func (s Span) End() {
+	if s.span != nil {
+		s.span.End()
+	}
+}
+
+// Close writes what is left and waits.
+func (t *Tracer) Close() error {
+	if t == nil || t.provider == nil {
+		return nil
+	}
+	err := t.provider.Shutdown(context.Background())
+	return errors.CombineErrors(err, t.file.Close())
+}
--- /dev/null
+++ b/share/spread/set.go
@@ -0,0 +1,146 @@
+// Package spread brings accepted configurations and host lists from the
+// platform to every host. A few watchers per failure domain read the platform;
+// all others learn from their peers by exchanging deltas. It is a state machine
+// without I/O: events go in with the time, actions come out.
+package spread
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrDelta says that a delta does not fit the version that it was applied to.
+var ErrDelta = errors.New("delta does not lead to the version it names")
+
+// Stamp orders the versions of one key. Operators number versions; when two of
+// them publish the same number at once, the digest decides, so that all hosts
+// settle on the same one.
+type Stamp struct {
+	Version uint64
+	Digest  uint64
+}
+
+// Less tells whether s is older than o.
+func (s Stamp) Less(o Stamp) bool {
+	if s.Version != o.Version {
+		return s.Version < o.Version
+	}
+	return s.Digest < o.Digest
+}
+
+// Item is one named piece of a set: a file of the configuration, or a host of
+// the host list.
+type Item struct {
+	Name string
+	Body []byte
+}
+
+// Set is one version of a key: named items. Sets are never changed once built.
+type Set struct {
+	Version uint64
+	Items   map[string][]byte
+}
+
+// NewSet builds a set from items; of two items with one name the later counts.
+func NewSet(version uint64, items []Item) *Set {
+	s := &Set{Version: version, Items: make(map[string][]byte, len(items))}
+	for _, it := range items {
+		s.Items[it.Name] = it.Body
+	}
+	return s
+}
+
+// Stamp returns the version and a digest over all items, whatever their order.
+func (s *Set) Stamp() Stamp {
+	var sum uint64
+	for name, body := range s.Items {
+		sum += itemHash(name, body)
+	}
+	return Stamp{Version: s.Version, Digest: sum}
+}
+
+func itemHash(name string, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(name)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+// Sorted returns the items by name.
+func (s *Set) Sorted() []Item {
+	items := make([]Item, 0, len(s.Items))
+	for name, body := range s.Items {
+		items = append(items, Item{Name: name, Body: body})
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Name < items[j].Name })
+	return items
+}
+
+// Delta turns one version of a key into a later one. From.Version 0 stands for
+// the empty set.
+type Delta struct {
+	Key     string
+	From    Stamp
+	To      Stamp
+	Changed []Item
+	Removed []string
+}
+
+// Size returns about how many bytes the delta takes on a link.
+func (d Delta) Size() int {
+	n := len(d.Key) + 40
+	for _, it := range d.Changed {
+		n += len(it.Name) + len(it.Body) + 8
+	}
+	for _, name := range d.Removed {
+		n += len(name) + 2
+	}
+	return n
+}
+
+// diff returns what turns old into s; old may be nil.
+func (s *Set) diff(key string, old *Set) Delta {
+	d := Delta{Key: key, To: s.Stamp()}
+	if old == nil {
+		old = &Set{}
+	} else {
+		d.From = old.Stamp()
+	}
+	for _, it := range s.Sorted() {
+		before, ok := old.Items[it.Name]
+		if !ok || string(before) != string(it.Body) {
+			d.Changed = append(d.Changed, it)
+		}
+	}
+	for _, it := range old.Sorted() {
+		if _, ok := s.Items[it.Name]; !ok {
+			d.Removed = append(d.Removed, it.Name)
+		}
+	}
+	return d
+}
+
+// apply returns the set that a delta leads to. The digest is checked, so a
+// delta that was cut short or mixed up is never taken.
+func (s *Set) apply(d Delta) (*Set, error) {
+	next := &Set{Version: d.To.Version, Items: map[string][]byte{}}
+	if s != nil && d.From.Version != 0 {
+		for name, body := range s.Items {
+			next.Items[name] = body
+		}
+	}
+	for _, it := range d.Changed {
+		next.Items[it.Name] = it.Body
+	}
+	for _, name := range d.Removed {
+		delete(next.Items, name)
+	}
+	if next.Stamp() != d.To {
+		return nil, ErrDelta
+	}
+	return next, nil
+}
--- /dev/null
+++ b/share/wire/map.go
@@ -0,0 +1,71 @@
+// Package wire holds the messages between dandelionstile's processes, generated
+// from wire.proto, and maps the ones that both programs use to domain types.
+package wire
+
+import (
+	"dandelionstile/share/clock"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/query"
+)
+
+// OutcomeTo maps an outcome to its message.
+func OutcomeTo(o query.Outcome) *Outcome {
+	w := &Outcome{
+		Call: o.Call, Kind: uint32(o.Kind), Reason: string(o.Reason),
+		RetryAfterMs: uint32(o.RetryAfter), TookMs: uint32(o.Took), Strikes: uint32(o.Strikes),
+	}
+	for _, r := range o.Rows {
+		w.Rows = append(w.Rows, &Row{Key: r.Key, Score: r.Score, Text: r.Text})
+	}
+	if o.Feedback != nil {
+		w.Feedback = FeedbackTo(*o.Feedback)
+	}
+	return w
+}
+
+// OutcomeFrom maps a message to an outcome. A kind that is not known counts as
+// unknown, the one that promises least.
+func OutcomeFrom(w *Outcome) query.Outcome {
+	o := query.Outcome{
+		Call: w.GetCall(), Kind: KindFrom(w.GetKind()), Reason: query.Reason(w.GetReason()),
+		RetryAfter: clock.Milli(w.GetRetryAfterMs()), Took: clock.Milli(w.GetTookMs()), Strikes: int(w.GetStrikes()),
+	}
+	for _, r := range w.GetRows() {
+		o.Rows = append(o.Rows, query.Row{Key: r.GetKey(), Score: r.GetScore(), Text: r.GetText()})
+	}
+	if w.GetFeedback() != nil {
+		fb := FeedbackFrom(w.GetFeedback())
+		o.Feedback = &fb
+	}
+	return o
+}
+
+// KindFrom maps a number to a kind.
+func KindFrom(n uint32) query.Kind {
+	if n < uint32(query.OK) || n > uint32(query.Died) {
+		return query.Unknown
+	}
+	return query.Kind(n)
+}
+
+// FeedbackTo maps feedback to its message.
+func FeedbackTo(fb query.Feedback) *Feedback {
+	w := &Feedback{
+		Leaf: fb.Leaf, Busy: uint32(fb.Busy), Limit: uint32(fb.Limit), Queued: uint32(fb.Queued), Closed: fb.Closed,
+	}
+	for _, p := range fb.Holds {
+		w.Holds = append(w.Holds, &Snapshot{Layout: p.Layout, Version: p.Version})
+	}
+	return w
+}
+
+// FeedbackFrom maps a message to feedback.
+func FeedbackFrom(w *Feedback) query.Feedback {
+	fb := query.Feedback{
+		Leaf: w.GetLeaf(), Busy: int(w.GetBusy()), Limit: int(w.GetLimit()), Queued: int(w.GetQueued()), Closed: w.GetClosed(),
+	}
+	for _, p := range w.GetHolds() {
+		fb.Holds = append(fb.Holds, invent.Pin{Layout: p.GetLayout(), Version: p.GetVersion()})
+	}
+	return fb
+}
--- /dev/null
+++ b/stile/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
