aggregator: drop closed idle connections before a call is put on them

Cause: in the demo, the first query after a backend server's restart was refused as crashed-a-server, and all its resends as quarantined. The restart closed idle connections, the next query was put on one of them, broke, and was blamed for the restart. Ruled out: a crash by the query (the stand-in's log has none).

http: end calls under way when the client closes

Cause: an aggregator did not leave within 30 s. A watch opened while the engine stopped never gets a reply, and Close waited for its timeout.

--- a/aggregator/core/core.go
+++ b/aggregator/core/core.go
@@ -106,6 +106,9 @@
 		c.act(now, c.gate.Done(now, m.Result))
 	case leafs.Probed:
 		c.act(now, c.gate.Probed(now, m.Leaf, m.Conn, m.Sign, m.Err))
+	case leafs.Closed:
+		c.pool.Shut(m.Conn)
+		c.act(now, c.gate.Closed(now, m.Leaf, m.Conn))
 	case tick:
 		c.tick(now)
 	case leave:
--- a/aggregator/leafs/pool.go
+++ b/aggregator/leafs/pool.go
@@ -26,21 +26,28 @@
 	Err  error
 }
 
+// Closed reports to the control loop that a connection was closed.
+type Closed struct {
+	Leaf string
+	Conn gate.ConnID
+}
+
 // Pool holds the connections to leafs. Its methods are called from the control
 // loop; results come back through Report. Fields are set before use.
 type Pool struct {
 	HTTP   *fetch.Engine
 	Clock  clock.Clock
 	Tracer *spans.Tracer
-	// Report takes a Finished or Probed; it may block.
+	// Report takes a Finished, Probed or Closed; it may block.
 	Report func(any)
 
-	mu    sync.Mutex
-	conns map[gate.ConnID]*fetch.Conn
-	wait  sync.WaitGroup
+	mu     sync.Mutex
+	conns  map[gate.ConnID]*fetch.Conn
+	closed bool
+	wait   sync.WaitGroup
 }
 
-func (p *Pool) conn(id gate.ConnID, address string) *fetch.Conn {
+func (p *Pool) conn(id gate.ConnID, address, leaf string) *fetch.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.conns[id]
@@ -48,7 +55,9 @@
 		if p.conns == nil {
 			p.conns = map[gate.ConnID]*fetch.Conn{}
 		}
-		c = &fetch.Conn{Engine: p.HTTP, Address: address}
+		c = &fetch.Conn{Engine: p.HTTP, Address: address, Closed: func() {
+			go p.Report(Closed{Leaf: leaf, Conn: id})
+		}}
 		p.conns[id] = c
 	}
 	return c
@@ -60,7 +69,7 @@
 	if !ok {
 		return
 	}
-	c := p.conn(s.Conn, address)
+	c := p.conn(s.Conn, address, s.Leaf)
 	budget := s.Call.Deadline - p.Clock.Now()
 	span := p.Tracer.Start(job.Parent, "leaf-call",
 		attribute.String("leaf", s.Leaf), attribute.Bool("canary", s.Call.Canary))
@@ -102,7 +111,15 @@
 
 // do runs a call on a goroutine of its own, since opening a connection blocks.
 func (p *Pool) do(c *fetch.Conn, r *http.Request, done func(fetch.Reply, error)) {
-	p.wait.Add(1)
+	p.mu.Lock()
+	closed := p.closed
+	if !closed {
+		p.wait.Add(1)
+	}
+	p.mu.Unlock()
+	if closed {
+		return // nobody waits for the result any more
+	}
 	go c.Do(r, func(reply fetch.Reply, err error) {
 		// The library holds the connection's lock here, and the control loop
 		// may be about to take it.
@@ -158,7 +175,7 @@
 var ErrStatus = errors.New("probe was refused")
 
 func (p *Pool) probe(address, method, path, leaf string, id gate.ConnID) {
-	c := p.conn(id, address)
+	c := p.conn(id, address, leaf)
 	r, err := fetch.Request(method, address, path, nil)
 	if err != nil {
 		p.Report(Probed{Leaf: leaf, Conn: id, Err: err})
@@ -183,12 +200,10 @@
 	}
 }
 
-// Forget drops a connection that is lost already.
-func (p *Pool) Forget(id gate.ConnID) { p.Shut(id) }
-
 // Close closes all connections and waits for the calls.
 func (p *Pool) Close() error {
 	p.mu.Lock()
+	p.closed = true
 	ids := make([]gate.ConnID, 0, len(p.conns))
 	for id := range p.conns {
 		ids = append(ids, id)
--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -13,9 +13,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
+// The library logs to standard output, which belongs to the programs.
+func init() { logging.SetLevel(logging.LevelNone) }
+
 // Errors of calls.
 var (
 	// ErrNotOpened: the connection could not be opened; nothing was sent.
@@ -47,6 +51,7 @@
 	Source string
 
 	engine *nbhttp.Engine
+	done   chan struct{}
 }
 
 // Start makes the engine ready.
@@ -54,23 +59,38 @@
 	e.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "fetch", NPoller: 2, MaxHTTPBodySize: MaxReply, SupportServerOnly: false,
 	})
+	e.done = make(chan struct{})
 	return errors.Wrap(e.engine.Start(), "start http client")
 }
 
-// Close ends all connections and waits.
+// Close ends all connections and waits. Calls under way end with ErrLost; later
+// ones are not opened.
 func (e *Engine) Close() error {
 	if e.engine != nil {
+		close(e.done)
 		e.engine.Stop()
 	}
 	return nil
 }
 
+func (e *Engine) closed() bool {
+	select {
+	case <-e.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Conn is one connection, opened by its first call. It carries one call at a
 // time. After an error it is of no more use.
 type Conn struct {
 	Engine *Engine
 	// Address is the IP and port.
 	Address string
+	// Closed is called once the connection is closed, by either side; it may
+	// be nil. It must not call the Conn.
+	Closed func()
 
 	mu     sync.Mutex
 	client *nbhttp.ClientConn
@@ -98,11 +118,14 @@
 func (c *Conn) start() (*nbhttp.ClientConn, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.shut {
+	if c.shut || c.Engine.closed() {
 		return nil, false
 	}
 	if c.client == nil {
 		c.client = &nbhttp.ClientConn{Engine: c.Engine.engine, Dial: c.dial}
+		if c.Closed != nil {
+			c.client.OnClose(c.Closed)
+		}
 	}
 	return c.client, true
 }
@@ -206,6 +229,10 @@
 	select {
 	case g := <-got:
 		return g.reply, g.err
+	case <-e.done:
+		// A connection that was opened while the engine stopped never gets a
+		// reply, and nobody would tell.
+		return Reply{}, errors.Mark(errors.New("client is closed"), ErrLost)
 	case <-timer.C:
 		return Reply{}, errors.Mark(errors.Newf("no reply within %s", timeout), ErrLost)
 	}
--- a/share/gate/health.go
+++ b/share/gate/health.go
@@ -197,6 +197,24 @@
 	return append(out, e.publish(f, now)...)
 }
 
+// Closed says that a connection was closed. One that was idle is dropped before
+// a call is put on it: the call would fail, and its request would be taken for
+// what brought the server down. A close by the server hints at a restart, so
+// the leaf is looked at right away.
+func (e *Engine) Closed(now clock.Milli, leafName string, id ConnID) []Action {
+	f := e.leafs[leafName]
+	if f == nil {
+		return nil
+	}
+	c := f.conns[id]
+	if c == nil || c.call != nil || c.probe {
+		return nil // what is on it ends with an error of its own
+	}
+	delete(f.conns, id)
+	f.health.nextProbe = now
+	return e.probes(now, f)
+}
+
 // watchdog condemns connections that make no progress. Something between the
 // two ends may have lost track of a connection: it is silent for good while new
 // ones work. The connection goes; the leaf is blamed only when none of its
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -39,6 +39,7 @@
 	handlersAtAll = 8192
 )
 
+// The library logs to standard output, which belongs to the programs.
 func init() { logging.SetLevel(logging.LevelNone) }
 
 // Server serves a handler on one address. Fields are set before Start.
