--- a/aggregator/core/core.go
+++ b/aggregator/core/core.go
@@ -437,7 +437,7 @@
 		}
 		c.act(now, c.gate.Arrive(now, gate.Call{
 			Key: key, Leaf: w.GetLeaf(), Caller: b.GetCaller(), Deadline: now + clock.Milli(b.GetBudgetMs()),
-			Fingerprint: b.GetFingerprint(), Canary: w.GetCanary(), Request: job,
+			Fingerprint: b.GetFingerprint(), Canary: w.GetCanary(), Pin: job.Pin, Request: job,
 		}))
 	}
 }
@@ -451,7 +451,7 @@
 	}
 	c.act(now, c.gate.Arrive(now, gate.Call{
 		Key: key, Leaf: u.GetLeaf(), Deadline: now + clock.Milli(u.GetBudgetMs()),
-		Fingerprint: u.GetFingerprint(), Canary: true, Request: job,
+		Fingerprint: u.GetFingerprint(), Canary: true, Update: true, Request: job,
 	}))
 }
 
--- /dev/null
+++ b/bench/virt/update.go
@@ -0,0 +1,49 @@
+package virt
+
+import (
+	"dandelionstile/share/clock"
+	"dandelionstile/share/fanout"
+	"dandelionstile/share/ticket"
+)
+
+// Mint gets an id for an update from a host.
+func (w *World) Mint(h *Host) (ticket.ID, bool) {
+	if h.down || h.paused {
+		return ticket.ID{}, false
+	}
+	ids, err := h.Fan.Mint(w.Now(), 1)
+	if err != nil {
+		return ticket.ID{}, false
+	}
+	return ids[0], true
+}
+
+// Update sends an update to a host. Done is called when, and if, it is
+// answered.
+func (w *World) Update(h *Host, id ticket.ID, service, body string, budget clock.Milli, done func(fanout.UpdateResult)) {
+	w.nextID++
+	number := w.nextID
+	w.Stats.onUpdate[number] = done
+	w.Clock.After(w.Deployment.Caller, func() {
+		h.do(func() {
+			h.actFan(h.Fan.StartUpdate(w.Now(), fanout.Update{
+				Number: number, ID: id, Service: service, Operation: "status-update", Key: "key-" + id.String(),
+				Body: body, Deadline: w.Now() + budget,
+			}))
+		})
+	})
+}
+
+func (w *World) updated(_ *Host, a fanout.UpdateAnswered) {
+	s := &w.Stats
+	if pass, ok := s.remote[a.Number]; ok {
+		delete(s.remote, a.Number)
+		pass(a.Result)
+		return
+	}
+	s.Updates[a.Result.Kind]++
+	if done := s.onUpdate[a.Number]; done != nil {
+		delete(s.onUpdate, a.Number)
+		w.Clock.After(w.Deployment.Caller, func() { done(a.Result) })
+	}
+}
--- a/share/fanout/engine.go
+++ b/share/fanout/engine.go
@@ -155,7 +155,7 @@
 	order    []*running // in order of arrival; may hold finished ones
 	attempts map[uint64]*attempt
 	strikes  poison.Table
-	good     proven
+	good     poison.Proven
 	lastCall uint64
 	updates  updates
 }
--- a/share/fanout/pick.go
+++ b/share/fanout/pick.go
@@ -1,9 +1,6 @@
 package fanout
 
-import (
-	"dandelionstile/share/invent"
-	"dandelionstile/share/place"
-)
+import "dandelionstile/share/place"
 
 // candidate is a leaf that may be asked now, through a host.
 type candidate struct {
@@ -133,42 +130,3 @@
 	}
 	return found[i], shards[i], true
 }
-
-// proven remembers fingerprints that a leaf survived, in two generations so
-// that the memory is bounded and the recent ones stay.
-type proven struct {
-	young, old map[provenKey]struct{}
-}
-
-type provenKey struct {
-	fingerprint uint64
-	pin         invent.Pin
-}
-
-const provenMax = 32768
-
-func (p *proven) has(fingerprint uint64, pin invent.Pin) bool {
-	k := provenKey{fingerprint, pin}
-	if _, ok := p.young[k]; ok {
-		return true
-	}
-	_, ok := p.old[k]
-	return ok
-}
-
-func (p *proven) add(fingerprint uint64, pin invent.Pin) {
-	if p.young == nil || len(p.young) >= provenMax {
-		p.old, p.young = p.young, map[provenKey]struct{}{}
-	}
-	p.young[provenKey{fingerprint, pin}] = struct{}{}
-}
-
-func (p *proven) drop(fingerprint uint64) {
-	for _, m := range []map[provenKey]struct{}{p.young, p.old} {
-		for k := range m {
-			if k.fingerprint == fingerprint {
-				delete(m, k)
-			}
-		}
-	}
-}
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -36,8 +36,8 @@
 	canaryTries int
 	flying      []*attempt
 	rows        []query.Row
-	calls       int // calls sent in all
-	first       int // first calls per shard of the current pin
+	past        int // calls for pins that were given up
+	first       int // shards of the current pin that were asked
 	struck      bool
 	strikeUntil clock.Milli
 	done        bool
@@ -49,6 +49,7 @@
 	settled bool
 	missing query.Reason // why it has no result; set when settled without one
 	tries   int
+	reached int // calls that may have reached a leaf
 	flying  int
 	tried   map[string]bool // leafs asked
 	hosts   map[string]bool // aggregators that refused as not the owner
@@ -101,7 +102,7 @@
 	e.order = append(e.order, q)
 	q.note(now, Step{Event: EventPinned, Cause: query.Reason(pin.String())})
 	q.pinTo(pin, len(s.shards[pin.Layout]))
-	if !e.Policy.NoCanary && (e.strikes.Struck(fingerprint) || !e.good.has(fingerprint, pin)) {
+	if !e.Policy.NoCanary && (e.strikes.Struck(fingerprint) || !e.good.Has(q.proof())) {
 		q.canary = true
 		if out, sent := e.sendCanary(now, q); sent {
 			return out
@@ -115,6 +116,11 @@
 // so how many servers a query that crashes them can bring down.
 const maxCanaries = 2
 
+// proof names the query on the snapshot that it is pinned to.
+func (q *running) proof() poison.Proof {
+	return poison.Proof{Fingerprint: q.fingerprint, Layout: q.pin.Layout, Version: q.pin.Version}
+}
+
 // lonelyAdvice is when to come back to a host that is not ready yet.
 const lonelyAdvice = 500 * clock.Milli(1)
 
@@ -123,6 +129,7 @@
 }
 
 func (q *running) pinTo(pin invent.Pin, shards int) {
+	q.past, _ = q.load()
 	q.pin = pin
 	q.pins++
 	q.rows = nil
@@ -189,10 +196,10 @@
 	}
 	st.tried[c.leaf.name] = true
 	st.tries++
+	st.reached++
 	st.flying++
 	st.sentAt = now
 	st.retryAt = 0
-	q.calls++
 	c.leaf.flying++
 	e.lastCall++
 	a := &attempt{id: e.lastCall, query: q, shard: i, leaf: c.leaf, host: c.host, sent: now}
@@ -246,6 +253,9 @@
 	q.landed(a)
 	st := &q.shards[a.shard]
 	st.flying--
+	if o.Kind == query.NotRun {
+		st.reached--
+	}
 	if q.done || st.settled {
 		return nil
 	}
@@ -263,7 +273,7 @@
 	e.settle(now, q, a.shard, query.ReasonNone)
 	out := e.cancelShard(q, a.shard)
 	if q.canary {
-		e.good.add(q.fingerprint, q.pin)
+		e.good.Add(q.proof())
 		return append(out, e.fan(now, q)...)
 	}
 	return append(out, e.complete(now, q)...)
@@ -372,6 +382,10 @@
 	if !o.Kind.Ran() {
 		q.canaries--
 	}
+	if o.Reason == query.ReasonProven {
+		e.good.Add(q.proof())
+		return e.fan(now, q)
+	}
 	if len(q.flying) > 0 {
 		return nil
 	}
@@ -481,7 +495,7 @@
 // aggregators count; an entry only learns, or one crash would count twice.
 func (e *Engine) died(now clock.Milli, fingerprint uint64, strikes int, left clock.Milli) bool {
 	e.strikes.Merge(now, poison.Strike{Fingerprint: fingerprint, Count: max(1, strikes), Left: left})
-	e.good.drop(fingerprint)
+	e.good.Drop(fingerprint)
 	_, blocked := e.strikes.Blocked(now, fingerprint)
 	return blocked
 }
@@ -533,9 +547,9 @@
 		c.Missing = append(c.Missing, query.Missing{Shard: i, Reason: q.shards[i].missing})
 	}
 	e.forget(now, q, c)
+	calls, extra := q.load()
 	return append(out, Answered{Query: q.ID, Trail: q.trail, Answer: query.Answer{
-		Pin: q.pin, Rows: query.Merge(q.rows, q.Limit), Coverage: c,
-		Calls: q.calls, Extra: q.calls - q.first,
+		Pin: q.pin, Rows: query.Merge(q.rows, q.Limit), Coverage: c, Calls: calls, Extra: extra,
 	}})
 }
 
@@ -543,11 +557,22 @@
 	out := e.cancelAll(q)
 	q.note(now, Step{Event: EventRefused, Cause: why})
 	e.forget(now, q, query.Coverage{})
+	calls, extra := q.load()
 	return append(out, Answered{Query: q.ID, Trail: q.trail, Answer: query.Answer{
-		Refused: why, RetryAfter: wait, Calls: q.calls, Extra: q.calls - q.first,
+		Refused: why, RetryAfter: wait, Calls: calls, Extra: extra,
 	}})
 }
 
+// load counts the leaf calls of a query, and those beyond the first per shard.
+func (q *running) load() (calls, extra int) {
+	calls, extra = q.past, q.past
+	for i := range q.shards {
+		calls += q.shards[i].reached
+		extra += max(0, q.shards[i].reached-1)
+	}
+	return calls, extra
+}
+
 func (e *Engine) forget(now clock.Milli, q *running, c query.Coverage) {
 	q.done = true
 	q.service.door.leave(now, q.Caller, c)
--- a/share/gate/flow.go
+++ b/share/gate/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"dandelionstile/share/clock"
+	"dandelionstile/share/poison"
 	"dandelionstile/share/query"
 )
 
@@ -19,12 +20,20 @@
 		r.Outcome.Feedback = &fb
 		return []Action{r}
 	}
+	if c.Canary && !c.Update && e.proven.Has(c.proof()) {
+		return []Action{refuse(c.Key, query.ReasonProven, 0)}
+	}
 	k := &call{Call: c, leaf: f, arrived: now}
 	e.calls[c.Key] = k
 	f.queue = append(f.queue, k)
 	return e.dispatch(now, f)
 }
 
+// proof names a query on its snapshot.
+func (c Call) proof() poison.Proof {
+	return poison.Proof{Fingerprint: c.Fingerprint, Layout: c.Pin.Layout, Version: c.Pin.Version}
+}
+
 func refuse(k Key, why query.Reason, wait clock.Milli) Reply {
 	return Reply{Key: k, Outcome: query.Outcome{Call: k.ID, Kind: query.NotRun, Reason: why, RetryAfter: wait}}
 }
@@ -275,6 +284,9 @@
 	switch o.Kind {
 	case query.OK:
 		f.succeed(now)
+		if k.Canary {
+			e.proven.Add(k.proof())
+		}
 		if e.coldBySlowness(now, f, o.Took) {
 			f.ramp.begin(now, true)
 			out = append(out, Note{Leaf: f.Name, Event: "ramp started", Cause: "slow"})
@@ -289,6 +301,7 @@
 		}
 	case query.Died:
 		strike := e.strikes.Add(now, k.Fingerprint, !k.Canary)
+		e.proven.Drop(k.Fingerprint)
 		o.Strikes, o.RetryAfter = strike.Count, strike.Left
 		out = append(out, Struck{Strike: strike})
 		if strike.Left > 0 {
@@ -383,3 +396,12 @@
 
 // Unfence ends a fence: a peer has confirmed the configuration in force.
 func (e *Engine) Unfence() { e.fenced = 0 }
+
+// OnConn returns the call that is on a connection, if any.
+func (e *Engine) OnConn(leafName string, id ConnID) (Key, bool) {
+	f := e.leafs[leafName]
+	if f == nil || f.conns[id] == nil || f.conns[id].call == nil {
+		return Key{}, false
+	}
+	return f.conns[id].call.Key, true
+}
--- a/share/gate/gate.go
+++ b/share/gate/gate.go
@@ -34,6 +34,10 @@
 	Deadline    clock.Milli
 	Fingerprint uint64
 	Canary      bool
+	// Pin is the snapshot that a query runs on.
+	Pin invent.Pin
+	// Update is set for changes; they are run whatever was proven.
+	Update bool
 	// Request is what the program sends; the engine does not look at it.
 	Request any
 }
@@ -170,6 +174,7 @@
 	order    []*leaf // by name
 	calls    map[Key]*call
 	strikes  poison.Table
+	proven   poison.Proven
 	canaries map[uint64]Key
 	leases   leases
 	lastConn ConnID
@@ -369,6 +374,7 @@
 	if !e.strikes.Merge(now, s) {
 		return false, nil
 	}
+	e.proven.Drop(s.Fingerprint)
 	if _, blocked := e.strikes.Blocked(now, s.Fingerprint); !blocked {
 		return true, nil
 	}
--- a/share/query/query.go
+++ b/share/query/query.go
@@ -81,6 +81,9 @@
 	ReasonReused      Reason = "id-reused"
 	ReasonLeafError   Reason = "leaf-error"
 	ReasonBusy        Reason = "link-busy"
+	// ReasonProven answers a canary that need not run: the aggregator knows
+	// that a leaf survived the request.
+	ReasonProven Reason = "proven"
 )
 
 // Row is one search result.
