--- a/bench/virt/stats.go
+++ b/bench/virt/stats.go
@@ -233,3 +233,14 @@
 
 // Pending is how many queries have no answer yet.
 func (w *World) Pending() int { return len(w.Stats.pending) }
+
+// Young is how many pending queries were asked within a span.
+func (w *World) Young(span clock.Milli) int {
+	n := 0
+	for _, q := range w.Stats.pending {
+		if w.Now()-q.at <= span {
+			n++
+		}
+	}
+	return n
+}
--- a/share/fanout/pick.go
+++ b/share/fanout/pick.go
@@ -35,15 +35,20 @@
 	return candidate{leaf: f, host: name, rtt: rtt, cost: rtt + f.expect()}, true
 }
 
-// expect is how long a call to the leaf is likely to take, from its usual time
-// and the calls ahead of it.
+// expect is how long a call to the leaf is likely to take: its usual time, and
+// a wait for as many of the calls ahead as leave no slot free. Among leafs with
+// free slots the one with more of them comes first.
 func (f *leaf) expect() float64 {
 	usual := max(f.usual, 1)
 	limit := float64(max(f.fb.Limit, 1))
 	ahead := float64(max(f.fb.Busy+f.fb.Queued, f.flying))
-	return usual * (1 + ahead/limit)
+	wait := max(0, ahead-limit+1) / limit
+	return usual * (1 + wait + tieBreak*ahead/limit)
 }
 
+// tieBreak weighs the load of leafs that have free slots.
+const tieBreak = 0.05
+
 // free tells whether a leaf seems to have a slot to spare.
 func (f *leaf) free() bool {
 	return max(f.fb.Busy+f.fb.Queued, f.flying) < f.fb.Limit
@@ -111,6 +116,9 @@
 	var shards []int
 	local := false
 	for shard := range q.shards {
+		if q.shards[shard].flying > 0 {
+			continue // a second canary takes another shard, so it costs nothing extra
+		}
 		for _, c := range e.candidates(q, shard) {
 			mine := c.leaf.domain == e.Domain
 			if mine && !local {
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -105,6 +105,12 @@
 	if !e.Policy.NoCanary && (e.strikes.Struck(fingerprint) || !e.good.Has(q.proof())) {
 		q.canary = true
 		if out, sent := e.sendCanary(now, q); sent {
+			if s.Patience < 100 {
+				// The service weighs tail latency: whichever canary is back
+				// first lets the rest go.
+				more, _ := e.sendCanary(now, q)
+				out = append(out, more...)
+			}
 			return out
 		}
 		q.canary = false
