policy: blame canaries only, hand over leafs with what is known of them

Grants now carry ages, are told once work has ended, and a new owner takes half until the old one's work is over. Only canaries are blamed.

--- a/aggregator/core/codec.go
+++ b/aggregator/core/codec.go
@@ -17,7 +17,7 @@
 func agesTo(list []gate.ServerAges) []*wire.ServerAges {
 	out := make([]*wire.ServerAges, len(list))
 	for i, s := range list {
-		out[i] = &wire.ServerAges{Server: s.Server}
+		out[i] = &wire.ServerAges{Server: s.Server, Granted: s.Granted}
 		for _, l := range s.Leafs {
 			out[i].Leafs = append(out[i].Leafs, &wire.LeafAge{Leaf: l.Leaf, AgeMs: uint32(l.Age), Known: l.Known})
 		}
@@ -28,7 +28,7 @@
 func agesFrom(list []*wire.ServerAges) []gate.ServerAges {
 	out := make([]gate.ServerAges, len(list))
 	for i, s := range list {
-		out[i] = gate.ServerAges{Server: s.GetServer()}
+		out[i] = gate.ServerAges{Server: s.GetServer(), Granted: s.GetGranted()}
 		for _, l := range s.GetLeafs() {
 			out[i].Leafs = append(out[i].Leafs, gate.LeafAge{
 				Leaf: l.GetLeaf(), Age: clock.Milli(l.GetAgeMs()), Known: l.GetKnown(),
--- a/aggregator/core/core.go
+++ b/aggregator/core/core.go
@@ -344,6 +344,7 @@
 	switch l.Peer.GetProgram() {
 	case node.Aggregator:
 		c.peers[l.Peer.GetHost()] = l
+		c.gate.PeerUp()
 	case node.Entry:
 		out := &wire.Outcomes{}
 		for _, fb := range c.gate.Feedback(now) {
--- a/bench/scene/faults.go
+++ b/bench/scene/faults.go
@@ -94,7 +94,7 @@
 	r.run(30 * clock.Second)
 	r.W.Hosts[0].Wake()
 	r.run(5 * clock.Second)
-	r.set("unanswered", float64(r.W.Pending()))
+	r.set("unanswered", float64(r.W.Pending()-r.inFlight()))
 	r.common()
 }
 
--- a/bench/scene/overload.go
+++ b/bench/scene/overload.go
@@ -33,8 +33,9 @@
 	}
 	r.run(span)
 	s := &r.W.Stats
-	answered := float64(s.Complete) * 1000 / float64(span)
-	r.set("answered-over-capacity", answered/capacity)
+	// Answered work counts shards, so that a partial answer counts in part.
+	r.set("answered-over-capacity", float64(s.Complete+s.Partial())*s.CoveredShare()*1000/float64(span)/capacity)
+	r.set("complete-over-capacity", float64(s.Complete)*1000/float64(span)/capacity)
 	r.set("extra-share-in-overload", s.ExtraShare())
 	r.set("refused-share-in-overload", s.RefusedShare())
 	r.set("p99-in-overload-ms", s.Quantile(99))
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -26,6 +26,8 @@
 	Seed       uint64
 	Figures    []Figure
 	Faults     []string
+	// Notes counts reasons and events, for the reader.
+	Notes string
 }
 
 // Get returns a figure.
@@ -103,7 +105,7 @@
 	r := &Run{W: w, D: d, Baseline: p.Name == "baseline"}
 	s.run(r)
 	return Result{
-		Scenario: s.Name, Deployment: d.Name, Policy: p.Name, Seed: seed, Figures: r.figures, Faults: w.Stats.Faults,
+		Scenario: s.Name, Deployment: d.Name, Policy: p.Name, Seed: seed, Figures: r.figures, Faults: w.Stats.Faults, Notes: w.Stats.Summary(),
 	}
 }
 
--- a/bench/virt/host.go
+++ b/bench/virt/host.go
@@ -25,6 +25,7 @@
 	down        bool
 	leaving     bool
 	paused      bool
+	frozen      bool // paused for so long that its peers have noticed
 	backlog     []func()
 	linked      map[string]bool
 }
@@ -33,7 +34,7 @@
 func (h *Host) boot() {
 	w := h.World
 	h.incarnation++
-	h.down, h.leaving, h.paused, h.backlog = false, false, false, nil
+	h.down, h.leaving, h.paused, h.frozen, h.backlog = false, false, false, false, nil
 	h.linked = map[string]bool{}
 	h.Fan = &fanout.Engine{
 		Self: h.Name, Domain: h.Domain, Policy: w.Policies.Fanout,
@@ -42,11 +43,7 @@
 	h.Fan.Incarnate(h.incarnation)
 	h.Gate = &gate.Engine{Self: h.Name, Domain: h.Domain, Policy: w.Policies.Gate}
 	h.configure(w.Config)
-	w.Clock.After(1, func() {
-		for _, other := range w.Hosts {
-			other.do(other.relink)
-		}
-	})
+	w.Clock.After(1, h.relinkAll)
 }
 
 // do runs f on the host, later when it is paused, or never when it is down.
@@ -61,16 +58,31 @@
 }
 
 // Pause stops the host without its notice.
-func (h *Host) Pause() { h.paused = true }
+func (h *Host) Pause() {
+	h.paused = true
+	h.World.Clock.After(noticeCut, func() {
+		if h.paused {
+			h.frozen = true
+			h.relinkAll()
+		}
+	})
+}
+
+func (h *Host) relinkAll() {
+	for _, other := range h.World.Hosts {
+		other.do(other.relink)
+	}
+}
 
 // Wake lets it go on with what has piled up.
 func (h *Host) Wake() {
-	h.paused = false
+	h.paused, h.frozen = false, false
 	backlog := h.backlog
 	h.backlog = nil
 	for _, f := range backlog {
 		h.do(f)
 	}
+	h.World.Clock.After(1, h.relinkAll)
 }
 
 // Kill ends both programs at once; peers see the links close.
@@ -79,9 +91,7 @@
 	for _, f := range h.World.order {
 		f.hostGone(h)
 	}
-	for _, other := range h.World.Hosts {
-		other.do(other.relink)
-	}
+	h.relinkAll()
 }
 
 // Restart starts the programs of a host that is down.
@@ -127,7 +137,7 @@
 func (h *Host) relink() {
 	now := h.World.Now()
 	for _, other := range h.World.Hosts {
-		up := !other.down && !h.World.cut(h.Domain, other.Domain)
+		up := !other.down && !other.frozen && !h.World.cut(h.Domain, other.Domain)
 		if up == h.linked[other.Name] {
 			continue
 		}
@@ -138,6 +148,7 @@
 			continue
 		}
 		h.Fan.HostUp(other.Name)
+		h.Gate.PeerUp()
 		h.Fan.HostRTT(other.Name, float64(2*h.World.delay(h.Domain, other.Domain)))
 		for _, fb := range other.Gate.Feedback(now) {
 			h.Fan.Feedback(fb)
@@ -320,4 +331,3 @@
 		}))
 	})
 }
-
--- a/bench/virt/leaf.go
+++ b/bench/virt/leaf.go
@@ -218,7 +218,7 @@
 	case f.active >= f.bears():
 		if f.unseen {
 			f.hidden++
-			f.unseen = false
+			w.Clock.After(3, func() { f.unseen = false }) // when the reply is back
 		} else {
 			f.excess++
 		}
--- a/bench/virt/stats.go
+++ b/bench/virt/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"strings"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -114,6 +115,9 @@
 	return float64(s.Complete) / float64(s.Asked)
 }
 
+// Partial is how many answers lacked shards.
+func (s *Stats) Partial() int { return s.Answered - s.Complete }
+
 // CoveredShare is the share of shards in the answers that were given.
 func (s *Stats) CoveredShare() float64 {
 	if s.Shards == 0 {
@@ -244,3 +248,19 @@
 	}
 	return n
 }
+
+// Summary lists refusals, missing shards and leaf events by their causes.
+func (s *Stats) Summary() string {
+	var lines []string
+	for why, n := range s.Refused {
+		lines = append(lines, fmt.Sprintf("refused %s %d", why, n))
+	}
+	for why, n := range s.Missing {
+		lines = append(lines, fmt.Sprintf("missing %s %d", why, n))
+	}
+	for what, n := range s.Notes {
+		lines = append(lines, fmt.Sprintf("%s %d", what, n))
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "; ")
+}
--- a/share/fanout/budget.go
+++ b/share/fanout/budget.go
@@ -43,6 +43,7 @@
 	turned    clock.Milli
 	hedge     clock.Milli
 	dueAt     clock.Milli
+	typical   float64 // median, in ms
 }
 
 const (
@@ -87,6 +88,7 @@
 	}
 	if h.TotalCount() >= timingLeast {
 		t.hedge = max(hedgeLeast, clock.Milli(h.ValueAtQuantile(quantile))+1)
+		t.typical = float64(h.ValueAtQuantile(50))
 	}
 	return t.hedge
 }
@@ -161,7 +163,7 @@
 func crowded(c query.Coverage) bool {
 	for _, m := range c.Missing {
 		switch m.Reason {
-		case query.ReasonQueueFull, query.ReasonDeadline, query.ReasonPatience, query.ReasonShed:
+		case query.ReasonQueueFull, query.ReasonShed:
 			return true
 		default:
 		}
--- a/share/fanout/engine.go
+++ b/share/fanout/engine.go
@@ -184,6 +184,7 @@
 	known   bool
 	flying  int     // our calls at it
 	usual   float64 // smoothed time of our calls, in ms
+	learnt  clock.Milli
 }
 
 // host is an entry's view of one aggregator.
--- a/share/fanout/pick.go
+++ b/share/fanout/pick.go
@@ -1,6 +1,11 @@
 package fanout
 
-import "dandelionstile/share/place"
+import (
+	"math"
+
+	"dandelionstile/share/clock"
+	"dandelionstile/share/place"
+)
 
 // candidate is a leaf that may be asked now, through a host.
 type candidate struct {
@@ -12,40 +17,54 @@
 }
 
 // candidates lists the replicas of a shard that may be asked and were not yet.
-func (e *Engine) candidates(q *running, shard int) []candidate {
+func (e *Engine) candidates(now clock.Milli, q *running, shard int) []candidate {
 	st := &q.shards[shard]
 	var list []candidate
 	for _, f := range q.service.shards[q.pin.Layout][shard] {
 		if st.tried[f.name] || !e.usable(f, q.pin) {
 			continue
 		}
-		if c, ok := e.candidate(f, nil); ok {
+		if c, ok := e.candidate(now, f, nil); ok {
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
-func (e *Engine) candidate(f *leaf, skip map[string]bool) (candidate, bool) {
+func (e *Engine) candidate(now clock.Milli, f *leaf, skip map[string]bool) (candidate, bool) {
 	name := e.owner(f, skip)
 	if name == "" {
 		return candidate{}, false
 	}
 	rtt := e.hosts[name].rtt
-	return candidate{leaf: f, host: name, rtt: rtt, cost: rtt + f.expect()}, true
+	return candidate{leaf: f, host: name, rtt: rtt, cost: rtt + e.expect(now, f)}, true
 }
 
 // expect is how long a call to the leaf is likely to take: its usual time, and
 // a wait for as many of the calls ahead as leave no slot free. Among leafs with
 // free slots the one with more of them comes first.
-func (f *leaf) expect() float64 {
-	usual := max(f.usual, 1)
+func (e *Engine) expect(now clock.Milli, f *leaf) float64 {
+	usual := max(f.usualNow(now, f.service.timing.typical), 1)
 	limit := float64(max(f.fb.Limit, 1))
 	ahead := float64(max(f.fb.Busy+f.fb.Queued, f.flying))
 	wait := max(0, ahead-limit+1) / limit
 	return usual * (1 + wait + tieBreak*ahead/limit)
 }
 
+// usualNow is a leaf's usual time, drawn towards the service's typical time as
+// what is known of the leaf grows old. A leaf that was slow once is avoided, so
+// nothing new is learnt of it; without this it would be avoided for ever.
+func (f *leaf) usualNow(now clock.Milli, typical float64) float64 {
+	if f.usual <= typical {
+		return f.usual
+	}
+	age := float64(now-f.learnt) / float64(forgetHalf)
+	return typical + (f.usual-typical)*math.Exp2(-age)
+}
+
+// forgetHalf is how long it takes until half of a bad reputation is forgotten.
+const forgetHalf = clock.Second
+
 // tieBreak weighs the load of leafs that have free slots.
 const tieBreak = 0.05
 
@@ -110,7 +129,7 @@
 // canaryLeaf picks where a request with an unproven fingerprint runs first. All
 // entries of a failure domain pick the same leaf, so its aggregator sees all
 // canaries of a fingerprint and lets one run at a time.
-func (e *Engine) canaryLeaf(q *running) (candidate, int, bool) {
+func (e *Engine) canaryLeaf(now clock.Milli, q *running) (candidate, int, bool) {
 	var names []string
 	var found []candidate
 	var shards []int
@@ -119,7 +138,7 @@
 		if q.shards[shard].flying > 0 {
 			continue // a second canary takes another shard, so it costs nothing extra
 		}
-		for _, c := range e.candidates(q, shard) {
+		for _, c := range e.candidates(now, q, shard) {
 			mine := c.leaf.domain == e.Domain
 			if mine && !local {
 				names, found, shards = names[:0], found[:0], shards[:0]
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -146,7 +146,7 @@
 
 // sendCanary sends the query to one leaf before all others see it.
 func (e *Engine) sendCanary(now clock.Milli, q *running) ([]Action, bool) {
-	c, shard, ok := e.canaryLeaf(q)
+	c, shard, ok := e.canaryLeaf(now, q)
 	if !ok {
 		return nil, false
 	}
@@ -166,7 +166,7 @@
 		if st.settled || st.flying > 0 {
 			continue
 		}
-		list := e.candidates(q, i)
+		list := e.candidates(now, q, i)
 		if len(list) == 0 {
 			e.settle(now, q, i, e.whyMissing(q, i))
 			continue
@@ -274,9 +274,10 @@
 func (e *Engine) succeeded(now clock.Milli, q *running, a *attempt, o query.Outcome) []Action {
 	took := now - a.sent
 	q.service.timing.record(now, took)
-	a.leaf.learn(took)
+	a.leaf.learn(now, took)
 	q.rows = append(q.rows, o.Rows...)
 	e.settle(now, q, a.shard, query.ReasonNone)
+	e.beaten(now, q, a.shard)
 	out := e.cancelShard(q, a.shard)
 	if q.canary {
 		e.good.Add(q.proof())
@@ -286,7 +287,8 @@
 }
 
 // learn smooths the usual time of a leaf.
-func (f *leaf) learn(took clock.Milli) {
+func (f *leaf) learn(now, took clock.Milli) {
+	f.learnt = now
 	if f.usual == 0 {
 		f.usual = float64(took)
 		return
@@ -316,6 +318,17 @@
 	return e.cancel(q, func(a *attempt) bool { return a.shard == shard })
 }
 
+// beaten learns from calls of a shard that another call has overtaken: they
+// took at least as long as they have run. Else a straggler whose calls are
+// always overtaken would keep the reputation it had before.
+func (e *Engine) beaten(now clock.Milli, q *running, shard int) {
+	for _, a := range q.flying {
+		if a.shard == shard && float64(now-a.sent) > a.leaf.usual {
+			a.leaf.learn(now, now-a.sent)
+		}
+	}
+}
+
 // cancelAll cancels all calls of a query that are still out.
 func (e *Engine) cancelAll(q *running) []Action {
 	return e.cancel(q, func(*attempt) bool { return true })
@@ -353,6 +366,9 @@
 // failed decides what follows a call without a result.
 func (e *Engine) failed(now clock.Milli, q *running, a *attempt, o query.Outcome) []Action {
 	st := &q.shards[a.shard]
+	if o.Reason == query.ReasonProven {
+		return e.provenElsewhere(now, q, a)
+	}
 	st.last = o.Reason
 	q.note(now, Step{Event: EventFailed, Shard: a.shard, Leaf: a.leaf.name, Host: a.host, Cause: o.Reason})
 	switch {
@@ -382,16 +398,29 @@
 	return e.complete(now, q)
 }
 
+// provenElsewhere takes an aggregator's word that a leaf has survived the query
+// before: it goes out to all shards, and to the leaf that did not have to run
+// the canary.
+func (e *Engine) provenElsewhere(now clock.Milli, q *running, a *attempt) []Action {
+	st := &q.shards[a.shard]
+	delete(st.tried, a.leaf.name)
+	e.good.Add(q.proof())
+	if q.canary {
+		return e.fan(now, q)
+	}
+	b := batches{}
+	if list := e.candidates(now, q, a.shard); len(list) > 0 && st.flying == 0 {
+		e.send(now, q, a.shard, e.choose(list), false, EventSent, &b)
+	}
+	return b.actions()
+}
+
 // canaryFailed moves the canary to another leaf. A leaf that refused has not
 // run it and proves nothing; but only two may ever have run it.
 func (e *Engine) canaryFailed(now clock.Milli, q *running, o query.Outcome) []Action {
 	if !o.Kind.Ran() {
 		q.canaries--
 	}
-	if o.Reason == query.ReasonProven {
-		e.good.Add(q.proof())
-		return e.fan(now, q)
-	}
 	if len(q.flying) > 0 {
 		return nil
 	}
@@ -409,11 +438,11 @@
 	if now >= q.until || st.tries >= maxTries+e.Policy.FixedRetries {
 		return false
 	}
-	if c, ok := e.sidestep(q, a, o); ok {
+	if c, ok := e.sidestep(now, q, a, o); ok {
 		e.send(now, q, a.shard, c, false, EventRetried, b)
 		return true
 	}
-	list := e.candidates(q, a.shard)
+	list := e.candidates(now, q, a.shard)
 	if len(list) == 0 {
 		return false
 	}
@@ -430,7 +459,7 @@
 
 // sidestep reaches the same leaf through its other candidate, when the first
 // refused for reasons of its own.
-func (e *Engine) sidestep(q *running, a *attempt, o query.Outcome) (candidate, bool) {
+func (e *Engine) sidestep(now clock.Milli, q *running, a *attempt, o query.Outcome) (candidate, bool) {
 	if o.Kind != query.NotRun {
 		return candidate{}, false
 	}
@@ -444,7 +473,7 @@
 		st.hosts = map[string]bool{}
 	}
 	st.hosts[a.host] = true
-	return e.candidate(a.leaf, st.hosts)
+	return e.candidate(now, a.leaf, st.hosts)
 }
 
 // extra takes one extra call from the budget.
@@ -666,7 +695,7 @@
 	st.retryAt = 0
 	st.tried = nil
 	st.hosts = nil
-	list := e.candidates(q, i)
+	list := e.candidates(now, q, i)
 	if len(list) == 0 {
 		e.settle(now, q, i, e.whyMissing(q, i))
 		return
@@ -682,7 +711,7 @@
 		return
 	}
 	st := &q.shards[i]
-	list := e.candidates(q, i)
+	list := e.candidates(now, q, i)
 	free := list[:0]
 	for _, c := range list {
 		if c.leaf.free() && now+clock.Milli(c.rtt) < q.until {
--- a/share/fanout/update.go
+++ b/share/fanout/update.go
@@ -162,7 +162,7 @@
 	if now >= r.Deadline {
 		return e.endUpdate(r, UpdateResult{Kind: query.NotRun, Reason: query.ReasonDeadline, RetryAfter: lonelyAdvice})
 	}
-	c, ok := e.updateLeaf(r)
+	c, ok := e.updateLeaf(now, r)
 	if !ok {
 		if last == query.ReasonNone {
 			last = query.ReasonNoReplica
@@ -180,7 +180,7 @@
 
 // updateLeaf picks the replica that runs an update. All hosts prefer the same
 // one for a key.
-func (e *Engine) updateLeaf(r *runningUpdate) (candidate, bool) {
+func (e *Engine) updateLeaf(now clock.Milli, r *runningUpdate) (candidate, bool) {
 	s := e.services[r.Service]
 	if s == nil {
 		return candidate{}, false
@@ -197,7 +197,7 @@
 		if r.tried[f.name] || !e.usable(f, pin) {
 			continue
 		}
-		if c, ok := e.candidate(f, nil); ok {
+		if c, ok := e.candidate(now, f, nil); ok {
 			names = append(names, f.name)
 			list = append(list, c)
 		}
--- a/share/gate/flow.go
+++ b/share/gate/flow.go
@@ -103,7 +103,7 @@
 		return out
 	}
 	limit := e.limit(now, f)
-	for len(f.queue) > 0 && f.busy < limit {
+	for len(f.queue) > 0 && f.busy+f.ghosts(now) < limit {
 		i := e.next(f)
 		if i < 0 {
 			break
@@ -263,6 +263,7 @@
 		o.Kind = query.Died
 	}
 	out := e.judge(now, f, k, r, &o)
+	out = append(out, e.handOver(now, f.server)...)
 	out = append(out, e.finish(now, k, o)...)
 	out = append(out, e.dispatch(now, f)...)
 	return append(out, e.publish(f, now)...)
@@ -300,13 +301,7 @@
 			out = append(out, Note{Leaf: f.Name, Event: "ramp started", Cause: "shed"})
 		}
 	case query.Died:
-		strike := e.strikes.Add(now, k.Fingerprint, !k.Canary)
-		e.proven.Drop(k.Fingerprint)
-		o.Strikes, o.RetryAfter = strike.Count, strike.Left
-		out = append(out, Struck{Strike: strike})
-		if strike.Left > 0 {
-			out = append(out, e.purge(now, k.Fingerprint)...)
-		}
+		out = append(out, e.blame(now, k, o)...)
 		out = append(out, e.fail(now, f, true, query.ReasonReset)...)
 	case query.NotRun:
 		if r.NotOpened {
@@ -318,6 +313,22 @@
 	return out
 }
 
+// blame looks whether a request brought down the server that it was on. Only a
+// canary is blamed: a request that crashes each server it runs on never gets
+// past its canary, and what a leaf has survived before is innocent. Without the
+// distinction, the loss of a whole failure domain would quarantine whatever
+// popular queries ran there, on two servers each.
+func (e *Engine) blame(now clock.Milli, k *call, o *query.Outcome) []Action {
+	e.proven.Drop(k.Fingerprint)
+	if !k.Canary {
+		o.Kind = query.Unknown
+		return nil
+	}
+	strike := e.strikes.Add(now, k.Fingerprint)
+	o.Strikes, o.RetryAfter = strike.Count, strike.Left
+	return append([]Action{Struck{Strike: strike}}, e.purge(now, k.Fingerprint)...)
+}
+
 // Cancel gives up on a call whose caller no longer needs it. A waiting call
 // has not run. One at a leaf keeps its connection and its slot until the leaf
 // has answered: a slot that is counted free too early sends the leaf more than
--- a/share/gate/gate.go
+++ b/share/gate/gate.go
@@ -196,6 +196,7 @@
 
 	conns   map[ConnID]*conn
 	busy    int
+	lost    []clock.Milli // until when calls on condemned connections may run
 	queue   []*call
 	holds   []invent.Pin
 	ramp    ramp
@@ -233,7 +234,7 @@
 		}
 		owners := place.Owners(hosts, s.Domain, s.Name, place.Candidates)
 		rank := rankOf(owners, e.Self)
-		e.leases.place(s.Name, other(owners, e.Self))
+		e.leases.place(now, s.Name, other(owners, e.Self))
 		if rank < 0 && !e.serves(s) {
 			continue
 		}
@@ -386,8 +387,9 @@
 func (e *Engine) HostLeaving(now clock.Milli, host string) {
 	e.init(now)
 	for _, f := range e.order {
-		if e.leases.other[f.server] == host && f.ramp.left(now, f.warm) == 0 {
-			delete(e.leases.given, f.server)
+		l := e.leases.servers[f.server]
+		if l != nil && l.other == host && f.ramp.left(now, f.warm) == 0 && now < l.given {
+			l.given, l.moved = now, now
 		}
 	}
 }
--- a/share/gate/health.go
+++ b/share/gate/health.go
@@ -237,12 +237,27 @@
 			out = append(out, e.fail(now, f, !c.opened, query.ReasonSilent)...)
 		}
 		if lost != nil {
+			f.lost = append(f.lost, min(lost.Deadline, now+probeTimeout))
 			out = append(out, e.finish(now, lost, query.Outcome{Kind: query.Unknown, Reason: query.ReasonSilent})...)
 		}
 	}
 	return out
 }
 
+// ghosts counts the calls that may still run at the leaf although their
+// connections were condemned. A leaf that is only slow would otherwise get more
+// than its slots: it sheds, and is taken for cold.
+func (f *leaf) ghosts(now clock.Milli) int {
+	kept := f.lost[:0]
+	for _, until := range f.lost {
+		if now < until {
+			kept = append(kept, until)
+		}
+	}
+	f.lost = kept
+	return len(kept)
+}
+
 // Bounds of silentAfter.
 const (
 	silentFactor             = 25
--- a/share/gate/lease.go
+++ b/share/gate/lease.go
@@ -28,6 +28,8 @@
 type ServerAges struct {
 	Server string
 	Leafs  []LeafAge
+	// Granted: the sender keeps off the server's leafs.
+	Granted bool
 }
 
 // leases keeps, per server, the promise that the other candidate gave and the
@@ -40,36 +42,62 @@
 // from the moment it answered, which is later; so the holder always lets go
 // first, whatever is paused or delayed.
 type leases struct {
-	other   map[string]string      // server -> other candidate
-	held    map[string]clock.Milli // server -> until when it is exclusively ours
-	given   map[string]clock.Milli // server -> until when we promised to keep off
+	servers map[string]*lease
 	claims  map[uint64]clock.Milli // claim id -> when it was sent
 	last    uint64
 	renewed clock.Milli
 }
 
-func (l *leases) place(server, host string) {
-	if l.other == nil {
-		l.other = map[string]string{}
-		l.held = map[string]clock.Milli{}
-		l.given = map[string]clock.Milli{}
+// lease is where one server stands.
+type lease struct {
+	other string      // the other candidate, or ""
+	held  clock.Milli // until when the other keeps off
+	given clock.Milli // until when we keep off
+	// moved is when the candidates last changed, or a promise last bound us.
+	moved clock.Milli
+	// owed is the claim to answer once our work at the leafs is done.
+	owed uint64
+}
+
+func (l *leases) place(now clock.Milli, server, host string) *lease {
+	if l.servers == nil {
+		l.servers = map[string]*lease{}
 		l.claims = map[uint64]clock.Milli{}
 	}
-	l.other[server] = host
+	s, ok := l.servers[server]
+	if !ok {
+		s = &lease{other: host, moved: now}
+		l.servers[server] = s
+	}
+	if s.other != host {
+		s.other, s.held, s.moved = host, 0, now
+	}
+	return s
 }
 
 // exclusive tells whether the other candidate has promised to keep off, or
 // there is none.
 func (l *leases) exclusive(now clock.Milli, server string) bool {
-	host, ok := l.other[server]
-	if !ok {
-		return false
-	}
-	return host == "" || now < l.held[server]
+	s, ok := l.servers[server]
+	return ok && (s.other == "" || now < s.held)
 }
 
 // promised tells whether this host has promised to keep off a server.
-func (l *leases) promised(now clock.Milli, server string) bool { return now < l.given[server] }
+func (l *leases) promised(now clock.Milli, server string) bool {
+	s, ok := l.servers[server]
+	return ok && now < s.given
+}
+
+// settled tells whether the other candidate has had time to finish what it may
+// have had at the leafs before this host took over.
+func (l *leases) settled(now clock.Milli, server string) bool {
+	s, ok := l.servers[server]
+	return ok && now-max(s.moved, s.given) >= leaseSpan
+}
+
+// PeerUp says that another aggregator is linked: claims on the servers shared
+// with it go out at the next tick instead of when the old ones run out.
+func (e *Engine) PeerUp() { e.leases.renewed = 0 }
 
 // claim renews the claims on the servers that this host is primary for.
 func (e *Engine) claim(now clock.Milli) []Action {
@@ -85,7 +113,7 @@
 	}
 	byHost := map[string][]ServerAges{}
 	for _, f := range e.order {
-		host := l.other[f.server]
+		host := l.servers[f.server].other
 		if f.rank != 0 || host == "" || l.promised(now, f.server) {
 			continue
 		}
@@ -108,49 +136,71 @@
 // appendAge adds a leaf's age under its server. Leafs come in order of name,
 // so a server's leafs may be apart.
 func appendAge(list []ServerAges, now clock.Milli, f *leaf) []ServerAges {
-	age := LeafAge{Leaf: f.Name, Age: min(f.ramp.age(now), maxAge), Known: f.ramp.known}
 	for i := range list {
 		if list[i].Server == f.server {
-			list[i].Leafs = append(list[i].Leafs, age)
+			list[i].Leafs = append(list[i].Leafs, f.age(now))
 			return list
 		}
 	}
-	return append(list, ServerAges{Server: f.server, Leafs: []LeafAge{age}})
+	return append(list, ServerAges{Server: f.server, Leafs: []LeafAge{f.age(now)}})
+}
+
+func (f *leaf) age(now clock.Milli) LeafAge {
+	return LeafAge{Leaf: f.Name, Age: min(f.ramp.age(now), maxAge), Known: f.ramp.known}
+}
+
+// ages lists a server's leafs and tells whether work of ours is at one.
+func (e *Engine) ages(now clock.Milli, server string) (ServerAges, bool) {
+	s := ServerAges{Server: server}
+	busy := false
+	for _, f := range e.order {
+		if f.server == server {
+			busy = busy || f.busy+f.ghosts(now) > 0
+			s.Leafs = append(s.Leafs, f.age(now))
+		}
+	}
+	return s, busy
 }
 
 // Claimed answers another host's claim. A server is granted unless this host
-// believes itself primary for it or still has work at it.
+// believes itself primary for it. The answer always carries what is known of
+// the leafs, so that a fresh host need not take warm leafs for cold.
 func (e *Engine) Claimed(now clock.Milli, host string, id uint64, servers []ServerAges) []Action {
 	e.init(now)
 	g := Grant{Host: host, ID: id, Span: leaseSpan}
-	var out []Action
 	for _, s := range servers {
 		e.learn(now, s)
-		if e.rank(s.Server) == 0 && !e.leaving {
-			continue
-		}
-		e.leases.place(s.Server, host)
-		e.leases.given[s.Server] = now + leaseSpan
-		delete(e.leases.held, s.Server)
-		mine := ServerAges{Server: s.Server}
-		busy := false
-		for _, f := range e.order {
-			if f.server != s.Server {
-				continue
+		mine, busy := e.ages(now, s.Server)
+		if e.rank(s.Server) != 0 || e.leaving {
+			l := e.leases.place(now, s.Server, host)
+			l.given, l.held = now+leaseSpan, 0
+			mine.Granted = !busy
+			l.owed = 0
+			if busy {
+				// Work of ours still at the leafs counts against what they
+				// bear: the promise binds, and is told when the work is done.
+				l.owed = id
 			}
-			busy = busy || f.busy > 0
-			mine.Leafs = append(mine.Leafs, LeafAge{Leaf: f.Name, Age: min(f.ramp.age(now), maxAge), Known: f.ramp.known})
-		}
-		// Work of ours still at the leaf counts against what it bears, so the
-		// promise is given but not yet told.
-		if !busy {
-			g.Servers = append(g.Servers, mine)
 		}
+		g.Servers = append(g.Servers, mine)
 	}
-	if len(g.Servers) == 0 {
-		return out
+	return []Action{g}
+}
+
+// handOver tells a promise that waited for this host's work to end.
+func (e *Engine) handOver(now clock.Milli, server string) []Action {
+	l := e.leases.servers[server]
+	if l == nil || l.owed == 0 || now >= l.given {
+		return nil
+	}
+	mine, busy := e.ages(now, server)
+	if busy {
+		return nil
 	}
-	return append(out, g)
+	mine.Granted = true
+	g := Grant{Host: l.other, ID: l.owed, Span: leaseSpan, Servers: []ServerAges{mine}}
+	l.owed = 0
+	return []Action{g}
 }
 
 func (e *Engine) rank(server string) int {
@@ -177,14 +227,17 @@
 	if !ok {
 		return nil
 	}
-	var out []Action
 	for _, s := range servers {
-		if e.leases.other[s.Server] != host || e.leases.promised(now, s.Server) {
+		l := e.leases.servers[s.Server]
+		if l == nil || l.other != host {
 			continue
 		}
-		e.leases.held[s.Server] = sent + min(span, leaseSpan)
 		e.learn(now, s)
+		if s.Granted && now >= l.given {
+			l.held = sent + min(span, leaseSpan)
+		}
 	}
+	var out []Action
 	for _, f := range e.order {
 		out = append(out, e.dispatch(now, f)...)
 	}
--- a/share/gate/ramp.go
+++ b/share/gate/ramp.go
@@ -52,22 +52,26 @@
 
 // limit is how many calls a leaf may have at once.
 //
-// While a leaf warms up and the other candidate has not promised to leave it
-// alone, this host takes half. Two hosts may both believe themselves primary
-// (host lists lag, processes pause); without the halving the leaf would get
-// twice what it bears. Halves sum to no more than the whole, whoever is right.
+// While the other candidate has not promised to leave the leaf alone, this host
+// takes half: of what a cold leaf bears at any time, and of a warm one's slots
+// for as long as the other may still have work there. Two hosts may both believe
+// themselves primary (host lists lag, processes pause); without the halving the
+// leaf would get twice what it bears. Halves sum to no more than the whole,
+// whoever is right.
 func (e *Engine) limit(now clock.Milli, f *leaf) int {
 	if e.Policy.NoRamp {
 		return f.cap
 	}
 	bears := f.ramp.allowed(now, f.warm, f.Slots)
-	if bears < f.Slots && !e.leases.exclusive(now, f.server) {
-		bears /= 2
-	}
-	if e.leases.promised(now, f.server) {
+	cold := bears < f.Slots
+	switch {
+	case e.leases.promised(now, f.server):
 		// The primary serves this leaf. An entry that cannot reach it comes
 		// here instead; one slot is the reserve for that.
 		bears = min(bears, 1)
+	case e.leases.exclusive(now, f.server):
+	case cold, !e.leases.settled(now, f.server):
+		bears /= 2
 	}
 	return min(bears, f.cap)
 }
--- a/share/poison/poison.go
+++ b/share/poison/poison.go
@@ -12,8 +12,8 @@
 // How long a fingerprint is refused, by the number of servers it brought down.
 const (
 	// Suspect follows the first crash. The server may have died for another
-	// reason, so the request gets a second chance soon.
-	Suspect = 5 * clock.Second
+	// reason, so the request gets a second chance once all hosts have heard.
+	Suspect = clock.Second
 	// Quarantine follows the second crash, and starts anew with each resend.
 	Quarantine = 10 * clock.Minute
 )
@@ -51,17 +51,13 @@
 }
 
 // Add records that a request brought down a server and returns the strike to
-// tell others. A proven request has been survived before, so its first crash is
-// put down to the server and blocks nothing; the second quarantines it.
-func (t *Table) Add(now clock.Milli, fingerprint uint64, proven bool) Strike {
+// tell others.
+func (t *Table) Add(now clock.Milli, fingerprint uint64) Strike {
 	e := t.entries[fingerprint]
 	e.count++
-	e.until = now
-	switch {
-	case e.count > 1:
-		e.until += Quarantine
-	case !proven:
-		e.until += Suspect
+	e.until = now + Suspect
+	if e.count > 1 {
+		e.until = now + Quarantine
 	}
 	t.put(fingerprint, e)
 	return Strike{Fingerprint: fingerprint, Count: e.count, Left: e.until - now}
