policy: share leafs' pace between entries, avoid hosts that stand still

Cause of the p99 under stragglers: each of seven entries had to find each slow leaf for itself. Cause of the losses while a host is paused: its links stay up for two seconds. Entries now prefer the other candidate after 150 ms without a word on four calls. Cause of p99.9 900 ms with silent connections: their calls held slots until the deadline. The leaf is now asked to stop them.

Tried and reverted: holding a caller with most of a leaf's calls to half of its slots.

--- a/bench/virt/host.go
+++ b/bench/virt/host.go
@@ -286,7 +286,7 @@
 		case gate.Probe:
 			w.Leafs[a.Leaf].probe(h, a.Conn, a.Fresh)
 		case gate.Abort:
-			w.Leafs[a.Leaf].probe(h, a.Conn, false)
+			w.Leafs[a.Leaf].abort(h, a)
 		case gate.Shut:
 			w.Leafs[a.Leaf].shut(connKey{h.Index, h.incarnation, a.Conn})
 		case gate.Reply:
--- a/bench/virt/leaf.go
+++ b/bench/virt/leaf.go
@@ -34,6 +34,13 @@
 // restartAfter is how long a crashed server stays away.
 const restartAfter = 2 * clock.Second
 
+// attemptKey names a call at a leaf.
+type attemptKey struct {
+	host        int
+	incarnation uint64
+	key         gate.Key
+}
+
 type connKey struct {
 	host        int
 	incarnation uint64
@@ -59,6 +66,7 @@
 	straggle    float64
 	holds       []invent.Pin
 	conns       map[connKey]bool // false: silent
+	running     map[attemptKey]func()
 	mostConns   int
 
 	calls   int
@@ -70,7 +78,7 @@
 func newLeaf(w *World, s invent.Server, l invent.Leaf, v deploy.Service) *Leaf {
 	f := &Leaf{
 		w: w, spec: l, server: s.Name, service: s.Service, domain: s.Domain, connect: v.Connect,
-		incarnation: 1, straggle: 1, conns: map[connKey]bool{},
+		incarnation: 1, straggle: 1, conns: map[connKey]bool{}, running: map[attemptKey]func(){},
 	}
 	for _, h := range l.Holds {
 		f.holds = append(f.holds, invent.Pin{Layout: h.Layout, Version: 1})
@@ -158,6 +166,18 @@
 	}
 }
 
+// abort stops a query under way; an update runs to its end.
+func (f *Leaf) abort(h *Host, a gate.Abort) {
+	attempt := attemptKey{h.Index, h.incarnation, a.Call.Key}
+	f.w.Clock.After(f.w.delay(h.Domain, f.domain), func() {
+		if stop, ok := f.running[attempt]; ok && !a.Call.Update {
+			delete(f.running, attempt)
+			stop()
+		}
+	})
+	f.probe(h, a.Conn, a.Fresh)
+}
+
 func (f *Leaf) probe(h *Host, id gate.ConnID, fresh bool) {
 	born := h.incarnation
 	f.reach(h, id, fresh, func(opened bool) {
@@ -238,10 +258,20 @@
 		return
 	}
 	incarnation := f.incarnation
-	w.Clock.After(f.draw(j), func() {
-		if incarnation != f.incarnation || f.down {
+	attempt := attemptKey{h.Index, h.incarnation, s.Call.Key}
+	f.running[attempt] = func() {
+		f.active--
+		f.finish(h, s, r, query.Outcome{Kind: query.Unknown, Reason: query.ReasonLeafError})
+	}
+	span := f.draw(j)
+	if j.update == nil {
+		span = min(span, max(1, s.Call.Deadline-w.Now())) // a leaf stops at the deadline
+	}
+	w.Clock.After(span, func() {
+		if _, still := f.running[attempt]; !still || incarnation != f.incarnation || f.down {
 			return
 		}
+		delete(f.running, attempt)
 		f.active--
 		if j.update != nil {
 			f.finish(h, s, r, query.Outcome{Kind: query.OK, Body: "done"})
@@ -312,6 +342,7 @@
 func (f *Leaf) chill() {
 	f.incarnation++
 	f.active = 0
+	f.running = map[attemptKey]func(){}
 	f.cold, f.warming, f.unseen = f.w.Now(), true, true
 }
 
@@ -329,6 +360,7 @@
 	f.down = true
 	f.incarnation++
 	f.active = 0
+	f.running = map[attemptKey]func(){}
 	conns := f.conns
 	f.conns = map[connKey]bool{}
 	for _, h := range f.w.Hosts {
--- a/share/fanout/engine.go
+++ b/share/fanout/engine.go
@@ -158,6 +158,7 @@
 	good     poison.Proven
 	lastCall uint64
 	updates  updates
+	now      clock.Milli // time of the event in hand
 }
 
 // service is everything known of one service.
@@ -192,6 +193,30 @@
 	up      bool
 	leaving bool
 	rtt     float64 // in ms
+	heard   clock.Milli
+	flying  int         // our calls at it
+	since   clock.Milli // since when calls have been out without a break
+}
+
+// hostSilent is how long an aggregator with calls of ours may give no word on
+// any of them before others are preferred. A paused process keeps its links for
+// seconds; without this, calls go into it all the while.
+const hostSilent = 150 * clock.Milli(1)
+
+func (h *host) send(now clock.Milli) {
+	if h.flying == 0 {
+		h.since = now
+	}
+	h.flying++
+}
+
+// hostLeast is how many calls must be out for silence to mean anything: a few
+// may all be at leafs that are slow.
+const hostLeast = 4
+
+// silent tells whether a host seems to stand still.
+func (h *host) silent(now clock.Milli) bool {
+	return h.flying >= hostLeast && now-max(h.heard, h.since) > hostSilent+clock.Milli(h.rtt)
 }
 
 // Configure puts a configuration and a host list in force. Queries that run
@@ -371,23 +396,23 @@
 func (e *Engine) Strikes(now clock.Milli) []poison.Strike { return e.strikes.Strikes(now) }
 
 // owner returns the aggregator to reach a leaf through: the first candidate
-// that is linked and stays, or else one that is linked. The skip names hosts
-// that have refused already.
+// that is linked, answers and stays, or else one that is linked. The skip names
+// hosts that have refused already.
 func (e *Engine) owner(f *leaf, skip map[string]bool) string {
-	leaving := ""
+	second := ""
 	for _, name := range f.owners {
 		h := e.hosts[name]
 		if h == nil || !h.up || skip[name] {
 			continue
 		}
-		if !h.leaving {
+		if !h.leaving && !h.silent(e.now) {
 			return name
 		}
-		if leaving == "" {
-			leaving = name
+		if second == "" {
+			second = name
 		}
 	}
-	return leaving
+	return second
 }
 
 // usable tells whether a leaf may get new work for a pin.
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -77,6 +77,7 @@
 // Start takes a query. The answer may come at once.
 func (e *Engine) Start(now clock.Milli, r Request) []Action {
 	e.init()
+	e.now = now
 	s := e.services[r.Service]
 	if s == nil {
 		return refused(r.ID, query.ReasonNotReady, lonelyAdvice)
@@ -207,6 +208,7 @@
 	st.sentAt = now
 	st.retryAt = 0
 	c.leaf.flying++
+	e.host(c.host).send(now)
 	e.lastCall++
 	a := &attempt{id: e.lastCall, query: q, shard: i, leaf: c.leaf, host: c.host, sent: now}
 	e.attempts[a.id] = a
@@ -255,6 +257,10 @@
 	}
 	delete(e.attempts, o.Call)
 	a.leaf.flying--
+	e.now = now
+	h := e.host(a.host)
+	h.flying--
+	h.heard = now
 	q := a.query
 	q.landed(a)
 	st := &q.shards[a.shard]
@@ -344,6 +350,7 @@
 		}
 		byHost[a.host] = append(byHost[a.host], a.id)
 		a.leaf.flying--
+		e.host(a.host).flying--
 		q.shards[a.shard].flying--
 		delete(e.attempts, a.id)
 	}
@@ -523,7 +530,14 @@
 	q.struck = true
 	q.strikeUntil = now + strikeWait
 	out := e.cancelAll(q)
-	return append(out, ShareStrike{Query: q.ID, Strike: e.strikes.Get(now, q.fingerprint)})
+	strike := e.strikes.Get(now, q.fingerprint)
+	if q.canaries >= maxCanaries && strike.Count < maxCanaries {
+		// Two servers have the request. Their aggregators count one crash each
+		// and cannot know of the other's.
+		strike.Count, strike.Left = maxCanaries, poison.Quarantine
+		e.strikes.Merge(now, strike)
+	}
+	return append(out, ShareStrike{Query: q.ID, Strike: strike})
 }
 
 // died takes a crash report and tells whether the request is refused now. The
@@ -632,6 +646,7 @@
 // milliseconds.
 func (e *Engine) Tick(now clock.Milli) []Action {
 	e.init()
+	e.now = now
 	var out []Action
 	kept := e.order[:0]
 	for _, q := range e.order {
--- a/share/gate/flow.go
+++ b/share/gate/flow.go
@@ -16,8 +16,10 @@
 	}
 	if why, wait := e.refusal(now, f, c); why != query.ReasonNone {
 		r := refuse(c.Key, why, wait)
-		fb := e.feedback(now, f)
-		r.Outcome.Feedback = &fb
+		if why != query.ReasonNotOwner {
+			fb := e.feedback(now, f)
+			r.Outcome.Feedback = &fb
+		}
 		return []Action{r}
 	}
 	if c.Canary && !c.Update && e.proven.Has(c.proof()) {
@@ -285,6 +287,7 @@
 	switch o.Kind {
 	case query.OK:
 		f.succeed(now)
+		f.health.pace.learn(now, o.Took)
 		if k.Canary {
 			e.proven.Add(k.proof())
 		}
@@ -294,8 +297,9 @@
 		}
 	case query.Shed:
 		// This host sends no more than the slots, so a leaf that sheds is
-		// colder than it seemed, or others send to it as well.
-		if !r.Sign.Draining && now-f.ramp.sheds >= shedPause {
+		// colder than it seemed; unless another host may send to it as well.
+		own := e.leases.exclusive(now, f.server) || e.leases.settled(now, f.server)
+		if own && !r.Sign.Draining && now-f.ramp.sheds >= shedPause {
 			f.ramp.sheds = now
 			f.ramp.begin(now, true)
 			out = append(out, Note{Leaf: f.Name, Event: "ramp started", Cause: "shed"})
@@ -349,10 +353,10 @@
 		}
 		return e.finish(now, k, query.Outcome{Kind: query.NotRun, Reason: query.ReasonCancelled})
 	}
+	f.overtaken(now, k)
 	out := e.finish(now, k, query.Outcome{Kind: query.Unknown, Reason: query.ReasonCancelled})
-	if c := f.idle(true); c != nil {
-		c.probe, c.since = true, now
-		out = append(out, Abort{Leaf: f.Name, Conn: c.id, Call: k.Call})
+	if f.idle(true) != nil {
+		out = append(out, e.abort(now, f, k)...)
 	}
 	return out
 }
@@ -403,7 +407,10 @@
 // its queue holds work that nobody waits for. No new work goes out until the
 // configuration is known to be current (Unfence), or, when the host is cut off
 // from everyone, for a short span.
-func (e *Engine) Fence(now clock.Milli) { e.fenced = now + fenceSpan }
+func (e *Engine) Fence(now clock.Milli) {
+	e.fenced = now + fenceSpan
+	e.leases.unsettle(now)
+}
 
 // Unfence ends a fence: a peer has confirmed the configuration in force.
 func (e *Engine) Unfence() { e.fenced = 0 }
--- a/share/gate/gate.go
+++ b/share/gate/gate.go
@@ -63,9 +63,10 @@
 // Abort asks a leaf, over an idle connection, to stop working on a call. It
 // is answered like a probe.
 type Abort struct {
-	Leaf string
-	Conn ConnID
-	Call Call
+	Leaf  string
+	Conn  ConnID
+	Fresh bool
+	Call  Call
 }
 
 // Shut closes a connection. Its call, if any, has been answered already.
@@ -196,7 +197,7 @@
 
 	conns   map[ConnID]*conn
 	busy    int
-	lost    []clock.Milli // until when calls on condemned connections may run
+	lost    []ghost
 	queue   []*call
 	holds   []invent.Pin
 	ramp    ramp
@@ -208,11 +209,18 @@
 	id     ConnID
 	call   *call // nil when idle
 	probe  bool
+	aborts Key         // the call that the probe under way aborts
 	since  clock.Milli // when the call or probe was sent
 	used   clock.Milli // when it last made progress
 	opened bool
 }
 
+// ghost is a call on a condemned connection that the leaf may still work on.
+type ghost struct {
+	key   Key
+	until clock.Milli
+}
+
 type call struct {
 	Call
 	leaf    *leaf
--- a/share/gate/health.go
+++ b/share/gate/health.go
@@ -17,6 +17,7 @@
 	draining    bool
 	drainedAt   clock.Milli // when the leaf last said that it drains
 	progress    clock.Milli // when any connection last made progress
+	pace        pace
 }
 
 const (
@@ -48,6 +49,14 @@
 
 // closed tells why a leaf takes no new work, or ReasonNone.
 func (e *Engine) closed(now clock.Milli, f *leaf) query.Reason {
+	if f.rank < 0 || e.leases.promised(now, f.server) {
+		return query.ReasonNotOwner
+	}
+	return f.shut()
+}
+
+// shut tells why a leaf takes no new work from anyone, or ReasonNone.
+func (f *leaf) shut() query.Reason {
 	switch {
 	case f.out != query.ReasonNone:
 		return f.out
@@ -55,10 +64,6 @@
 		return query.ReasonDraining
 	case f.health.down:
 		return query.ReasonUnreachable
-	case f.rank < 0:
-		return query.ReasonNotOwner
-	case f.ramp.left(now, f.warm) > 0 && e.leases.promised(now, f.server):
-		return query.ReasonNotOwner
 	}
 	return query.ReasonNone
 }
@@ -190,7 +195,10 @@
 		out = append(out, e.fail(now, f, !c.opened, query.ReasonUnreachable)...)
 		return append(out, e.publish(f, now)...)
 	}
-	c.probe, c.opened, c.used = false, true, now
+	if aborted := c.aborts; aborted != (Key{}) {
+		f.endGhosts(func(g ghost) bool { return g.key == aborted })
+	}
+	c.probe, c.opened, c.used, c.aborts = false, true, now, Key{}
 	f.succeed(now)
 	out := e.observe(now, f, s, true)
 	out = append(out, e.dispatch(now, f)...)
@@ -231,31 +239,53 @@
 			continue
 		}
 		lost := c.call
+		if lost != nil {
+			f.overtaken(now, lost)
+		}
 		e.detach(f, c)
 		out = append(out, Shut{Leaf: f.Name, Conn: c.id, Reason: query.ReasonSilent})
 		if now-f.health.progress >= span {
 			out = append(out, e.fail(now, f, !c.opened, query.ReasonSilent)...)
 		}
 		if lost != nil {
-			f.lost = append(f.lost, min(lost.Deadline, now+probeTimeout))
+			f.lost = append(f.lost, ghost{lost.Key, min(lost.Deadline, now+probeTimeout)})
+			out = append(out, e.abort(now, f, lost)...)
 			out = append(out, e.finish(now, lost, query.Outcome{Kind: query.Unknown, Reason: query.ReasonSilent})...)
 		}
 	}
 	return out
 }
 
+// abort asks the leaf to stop working on a call.
+func (e *Engine) abort(now clock.Milli, f *leaf, k *call) []Action {
+	c, fresh := f.idle(true), false
+	if c == nil {
+		c, fresh = e.open(now, f), true
+	}
+	if c == nil {
+		return nil
+	}
+	c.probe, c.since, c.aborts = true, now, k.Key
+	return []Action{Abort{Leaf: f.Name, Conn: c.id, Fresh: fresh, Call: k.Call}}
+}
+
 // ghosts counts the calls that may still run at the leaf although their
 // connections were condemned. A leaf that is only slow would otherwise get more
-// than its slots: it sheds, and is taken for cold.
+// than its slots: it sheds, and is taken for cold. A ghost ends when the leaf
+// confirms that it has stopped, or with its deadline.
 func (f *leaf) ghosts(now clock.Milli) int {
+	f.endGhosts(func(g ghost) bool { return now >= g.until })
+	return len(f.lost)
+}
+
+func (f *leaf) endGhosts(ended func(ghost) bool) {
 	kept := f.lost[:0]
-	for _, until := range f.lost {
-		if now < until {
-			kept = append(kept, until)
+	for _, g := range f.lost {
+		if !ended(g) {
+			kept = append(kept, g)
 		}
 	}
 	f.lost = kept
-	return len(kept)
 }
 
 // Bounds of silentAfter.
@@ -288,6 +318,9 @@
 
 // publish tells the entries when something they choose by has changed.
 func (e *Engine) publish(f *leaf, now clock.Milli) []Action {
+	if f.rank < 0 || e.leases.promised(now, f.server) {
+		return nil // the other candidate knows better
+	}
 	fb := e.feedback(now, f)
 	old := f.feeding
 	if fb.Closed == old.Closed && fb.Limit == old.Limit && samePins(fb.Holds, old.Holds) && old.Leaf != "" {
@@ -309,7 +342,7 @@
 func (e *Engine) feedback(now clock.Milli, f *leaf) query.Feedback {
 	return query.Feedback{
 		Leaf: f.Name, Busy: f.busy, Queued: len(f.queue), Limit: e.limit(now, f),
-		Holds: f.holds, Closed: e.closed(now, f) != query.ReasonNone,
+		Holds: f.holds, Closed: f.shut() != query.ReasonNone, Pace: f.health.pace.at(now, e.usualOf(f)),
 	}
 }
 
--- a/share/gate/lease.go
+++ b/share/gate/lease.go
@@ -95,6 +95,13 @@
 	return ok && now-max(s.moved, s.given) >= leaseSpan
 }
 
+// unsettle treats all servers as if another host had just had them.
+func (l *leases) unsettle(now clock.Milli) {
+	for _, s := range l.servers {
+		s.moved = now
+	}
+}
+
 // PeerUp says that another aggregator is linked: claims on the servers shared
 // with it go out at the next tick instead of when the old ones run out.
 func (e *Engine) PeerUp() { e.leases.renewed = 0 }
@@ -146,7 +153,9 @@
 }
 
 func (f *leaf) age(now clock.Milli) LeafAge {
-	return LeafAge{Leaf: f.Name, Age: min(f.ramp.age(now), maxAge), Known: f.ramp.known}
+	// A leaf that has passed its whole ramp here is known to be warm.
+	known := f.ramp.known || f.ramp.left(now, f.warm) == 0
+	return LeafAge{Leaf: f.Name, Age: min(f.ramp.age(now), maxAge), Known: known}
 }
 
 // ages lists a server's leafs and tells whether work of ours is at one.
@@ -163,7 +172,9 @@
 }
 
 // Claimed answers another host's claim. A server is granted unless this host
-// believes itself primary for it. The answer always carries what is known of
+// believes itself primary for it, or has just ceased to be a candidate beside
+// another: entries learn of new owners at different moments, and until all have,
+// both hosts serve, each its half. The answer always carries what is known of
 // the leafs, so that a fresh host need not take warm leafs for cold.
 func (e *Engine) Claimed(now clock.Milli, host string, id uint64, servers []ServerAges) []Action {
 	e.init(now)
@@ -171,8 +182,8 @@
 	for _, s := range servers {
 		e.learn(now, s)
 		mine, busy := e.ages(now, s.Server)
-		if e.rank(s.Server) != 0 || e.leaving {
-			l := e.leases.place(now, s.Server, host)
+		l := e.leases.place(now, s.Server, host)
+		if e.leaving || (e.rank(s.Server) != 0 && now-l.moved >= leaseSpan) {
 			l.given, l.held = now+leaseSpan, 0
 			mine.Granted = !busy
 			l.owed = 0
--- a/share/gate/ramp.go
+++ b/share/gate/ramp.go
@@ -63,15 +63,12 @@
 		return f.cap
 	}
 	bears := f.ramp.allowed(now, f.warm, f.Slots)
-	cold := bears < f.Slots
 	switch {
-	case e.leases.promised(now, f.server):
-		// The primary serves this leaf. An entry that cannot reach it comes
-		// here instead; one slot is the reserve for that.
-		bears = min(bears, 1)
 	case e.leases.exclusive(now, f.server):
-	case cold, !e.leases.settled(now, f.server):
+	case bears < f.Slots:
 		bears /= 2
+	case !e.leases.settled(now, f.server):
+		bears = (bears + 1 - min(f.rank, 1)) / 2 // of an odd slot, the primary's is the larger half
 	}
 	return min(bears, f.cap)
 }
--- a/share/query/query.go
+++ b/share/query/query.go
@@ -133,6 +133,8 @@
 	Holds []invent.Pin
 	// Closed: the leaf takes no new work for now.
 	Closed bool
+	// Pace is how long its recent calls took, in ms; 0 when not known.
+	Pace float64
 }
 
 // Outcome is the final word on one call to a leaf.
