policy: leases that survive restarts, and orderly hand-over

A fresh process now waits one lease, promises come before settling ends, and a leaving host releases each server when its last call is done.

--- a/aggregator/core/codec.go
+++ b/aggregator/core/codec.go
@@ -42,6 +42,10 @@
 	return &wire.Envelope{Body: &wire.Envelope_Claim{Claim: &wire.Claim{Id: a.ID, Servers: agesTo(a.Servers)}}}
 }
 
+func releaseTo(a gate.Release) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Claim{Claim: &wire.Claim{Servers: agesTo(a.Servers), Release: true}}}
+}
+
 func claimFrom(w *wire.Claim) (uint64, []gate.ServerAges) { return w.GetId(), agesFrom(w.GetServers()) }
 
 func grantTo(a gate.Grant) *wire.Envelope {
--- a/aggregator/core/core.go
+++ b/aggregator/core/core.go
@@ -115,7 +115,7 @@
 		c.node.Leave(now)
 		close(m.done)
 	case refuse:
-		c.gate.Leave()
+		c.act(now, c.gate.Leave(now))
 	case show:
 		m.reply <- c.shown(now)
 	}
@@ -152,6 +152,8 @@
 			c.sendTo(a.Host, claimTo(a))
 		case gate.Grant:
 			c.sendTo(a.Host, grantTo(a))
+		case gate.Release:
+			c.sendTo(a.Host, releaseTo(a))
 		case gate.Struck:
 			c.Log.Warn().Uint64("fingerprint", a.Strike.Fingerprint).Int("count", a.Strike.Count).
 				Msg("request crashed a backend server")
@@ -359,6 +361,7 @@
 	delete(c.links, l.ID)
 	if c.peers[l.Peer.GetHost()] == l {
 		delete(c.peers, l.Peer.GetHost())
+		c.gate.HostGone(now, l.Peer.GetHost())
 		for _, other := range c.links {
 			if other.Peer.GetProgram() == node.Aggregator && other.Peer.GetHost() == l.Peer.GetHost() {
 				c.peers[l.Peer.GetHost()] = other
@@ -370,11 +373,7 @@
 
 func (o owner) RTT(clock.Milli, *mesh.Link, time.Duration) {}
 
-func (o owner) Leaving(now clock.Milli, l *mesh.Link, leaving bool) {
-	if leaving && l.Peer.GetProgram() == node.Aggregator {
-		o.c.gate.HostLeaving(now, l.Peer.GetHost())
-	}
-}
+func (o owner) Leaving(clock.Milli, *mesh.Link, bool) {}
 
 func (o owner) Strike(now clock.Milli, s poison.Strike) bool {
 	news, out := o.c.gate.Strike(now, s)
@@ -415,6 +414,10 @@
 			c.act(now, c.gate.Cancel(now, gate.Key{Link: l.ID, ID: id}))
 		}
 	case *wire.Envelope_Claim:
+		if b.Claim.GetRelease() {
+			c.gate.Released(now, l.Peer.GetHost(), agesFrom(b.Claim.GetServers()))
+			return
+		}
 		id, servers := claimFrom(b.Claim)
 		c.act(now, c.gate.Claimed(now, l.Peer.GetHost(), id, servers))
 	case *wire.Envelope_Grant:
--- a/bench/virt/host.go
+++ b/bench/virt/host.go
@@ -103,10 +103,9 @@
 	for _, other := range h.World.Hosts {
 		other.do(func() {
 			other.configure(other.cfg)
-			other.Gate.HostLeaving(h.World.Now(), h.Name)
 		})
 	}
-	h.World.Clock.After(500, func() { h.Gate.Leave() })
+	h.World.Clock.After(500, func() { h.actGate(h.Gate.Leave(h.World.Now())) })
 	var wait func()
 	wait = func() {
 		if !h.Gate.Idle() || !h.Fan.Idle() {
@@ -145,6 +144,7 @@
 		if !up {
 			h.actFan(h.Fan.HostDown(now, other.Name))
 			h.actGate(h.Gate.LinkGone(now, uint64(other.Index)))
+			h.Gate.HostGone(now, other.Name)
 			continue
 		}
 		h.Fan.HostUp(other.Name)
@@ -307,6 +307,10 @@
 					to.actGate(to.Gate.Granted(w.Now(), h.Name, a.ID, a.Servers, a.Span))
 				})
 			}
+		case gate.Release:
+			if to := w.host(a.Host); to != nil {
+				w.deliver(h.Domain, to, func() { to.Gate.Released(w.Now(), h.Name, a.Servers) })
+			}
 		case gate.Struck:
 			h.share(a.Strike)
 		case gate.Note:
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -55,6 +55,7 @@
 	hosts   map[string]bool // aggregators that refused as not the owner
 	last    query.Reason
 	retryAt clock.Milli
+	waits   int
 	sentAt  clock.Milli // when the newest attempt was sent
 	hedged  bool
 }
@@ -119,6 +120,9 @@
 	return e.fan(now, q)
 }
 
+// maxWaits is how often a shard waits for room before it is given up.
+const maxWaits = 3
+
 // maxCanaries is how many leafs may run a query before one has answered it, and
 // so how many servers a query that crashes them can bring down.
 const maxCanaries = 2
@@ -198,7 +202,7 @@
 	if st.tried == nil {
 		st.tried = map[string]bool{}
 	}
-	if st.tries == 0 {
+	if st.reached == 0 {
 		q.first++
 	}
 	st.tried[c.leaf.name] = true
@@ -388,14 +392,14 @@
 	case st.flying > 0:
 		return nil // a hedge is still out
 	}
-	if wait, again := e.waits(now, q, st, o); again {
-		st.retryAt = now + wait
-		return nil
-	}
 	b := batches{}
 	if e.retry(now, q, a, o, &b) {
 		return b.actions()
 	}
+	if wait, again := e.waits(now, q, st, o); again {
+		st.retryAt = now + wait
+		return nil
+	}
 	if o.Reason == query.ReasonSnapshot || o.Reason == query.ReasonNoReplica {
 		if out, ok := e.repin(now, q); ok {
 			return out
@@ -488,21 +492,37 @@
 	return e.Policy.FixedRetries > 0 || s.budget.spend(1)
 }
 
-// waits tells whether a shard is to be asked again a little later: its leafs
-// had no room just now, and the service weighs coverage above all.
+// waits tells whether a shard is to be asked again a little later: nothing ran,
+// and the cause passes within moments. A leaf that changes hands or warms up is
+// waited for by all services; one without room only by those that weigh coverage
+// above all.
 func (e *Engine) waits(now clock.Milli, q *running, st *shard, o query.Outcome) (clock.Milli, bool) {
-	if o.Kind != query.NotRun || st.tries >= maxTries || q.service.Patience < 100 {
+	if o.Kind != query.NotRun || st.waits >= maxWaits {
 		return 0, false
 	}
 	switch o.Reason {
-	case query.ReasonQueueFull, query.ReasonCold, query.ReasonWaking:
+	case query.ReasonCold, query.ReasonWaking, query.ReasonNotOwner, query.ReasonLeaving:
+	case query.ReasonQueueFull:
+		if q.service.Patience < 100 {
+			return 0, false
+		}
 	default:
 		return 0, false
 	}
-	wait := max(10, min(o.RetryAfter, 50))
-	return wait, now+wait < q.until
+	wait := max(waitLeast, min(o.RetryAfter, waitMost))
+	if now+wait >= q.until {
+		return 0, false
+	}
+	st.waits++
+	return wait, true
 }
 
+// waitLeast and waitMost bound one wait.
+const (
+	waitLeast clock.Milli = 10
+	waitMost  clock.Milli = 50
+)
+
 // repin starts a query over on the snapshot that is now best, when its own is
 // gone. What it gathered is thrown away: an answer rests on one snapshot.
 func (e *Engine) repin(now clock.Milli, q *running) ([]Action, bool) {
@@ -708,6 +728,7 @@
 func (e *Engine) again(now clock.Milli, q *running, i int, b *batches) {
 	st := &q.shards[i]
 	st.retryAt = 0
+	st.tries = 0
 	st.tried = nil
 	st.hosts = nil
 	list := e.candidates(now, q, i)
--- a/share/gate/gate.go
+++ b/share/gate/gate.go
@@ -100,6 +100,12 @@
 	Span    clock.Milli
 }
 
+// Release tells the other candidate that this host no longer needs servers.
+type Release struct {
+	Host    string
+	Servers []ServerAges
+}
+
 // Struck says that a request brought down a server.
 type Struck struct{ Strike poison.Strike }
 
@@ -118,6 +124,7 @@
 func (Publish) action() {}
 func (Claim) action()   {}
 func (Grant) action()   {}
+func (Release) action() {}
 func (Struck) action()  {}
 func (Note) action()    {}
 
@@ -180,6 +187,7 @@
 	leases   leases
 	lastConn ConnID
 	lastTick clock.Milli
+	born     clock.Milli
 	fenced   clock.Milli // no new work before this time
 	leaving  bool
 }
@@ -296,6 +304,7 @@
 		e.calls = map[Key]*call{}
 		e.canaries = map[uint64]Key{}
 		e.lastTick = now
+		e.born = now
 	}
 }
 
@@ -366,10 +375,6 @@
 // believe themselves primary cannot exceed it together.
 func (f *leaf) share() int { return max(1, f.Connections/place.Candidates) }
 
-// Leave stops the host from owning anything new: it answers what it has and
-// takes no more.
-func (e *Engine) Leave() { e.leaving = true }
-
 // Idle tells whether no call is waiting or at a leaf.
 func (e *Engine) Idle() bool { return len(e.calls) == 0 }
 
@@ -390,9 +395,9 @@
 	return true, e.purge(now, s.Fingerprint)
 }
 
-// HostLeaving says that another host is on its way out: promises to keep off
-// its leafs end, except where a leaf is cold and may still have its work.
-func (e *Engine) HostLeaving(now clock.Milli, host string) {
+// HostGone says that the link to another host is lost: promises to keep off its leafs end, except where a leaf is cold and may
+// still have its work.
+func (e *Engine) HostGone(now clock.Milli, host string) {
 	e.init(now)
 	for _, f := range e.order {
 		l := e.leases.servers[f.server]
--- a/share/gate/lease.go
+++ b/share/gate/lease.go
@@ -9,9 +9,13 @@
 // Timing of the leases between the two candidates of a server.
 const (
 	// leaseSpan is how long a grant binds the host that gave it.
-	leaseSpan = 2 * clock.Second
+	leaseSpan = clock.Second
 	// leaseRenew is the pause between two claims.
-	leaseRenew = 500 * clock.Milli(1)
+	leaseRenew clock.Milli = 300
+	// settleSpan is how long two hosts share a server's leafs half and half
+	// when neither has the other's promise. It is longer than it takes until a
+	// promise can be had.
+	settleSpan = 2 * leaseSpan
 	// maxAge caps the ages that are exchanged.
 	maxAge = 10 * clock.Minute
 )
@@ -57,6 +61,8 @@
 	moved clock.Milli
 	// owed is the claim to answer once our work at the leafs is done.
 	owed uint64
+	// releasing: the server is to be given up then.
+	releasing bool
 }
 
 func (l *leases) place(now clock.Milli, server, host string) *lease {
@@ -92,7 +98,7 @@
 // have had at the leafs before this host took over.
 func (l *leases) settled(now clock.Milli, server string) bool {
 	s, ok := l.servers[server]
-	return ok && now-max(s.moved, s.given) >= leaseSpan
+	return ok && now-max(s.moved, s.given) >= settleSpan
 }
 
 // unsettle treats all servers as if another host had just had them.
@@ -102,6 +108,10 @@
 	}
 }
 
+// fresh tells whether this process started so recently that a promise of its
+// predecessor on this host may still be relied on.
+func (e *Engine) fresh(now clock.Milli) bool { return now-e.born < leaseSpan }
+
 // PeerUp says that another aggregator is linked: claims on the servers shared
 // with it go out at the next tick instead of when the old ones run out.
 func (e *Engine) PeerUp() { e.leases.renewed = 0 }
@@ -126,13 +136,8 @@
 		}
 		byHost[host] = appendAge(byHost[host], now, f)
 	}
-	hosts := make([]string, 0, len(byHost))
-	for h := range byHost {
-		hosts = append(hosts, h)
-	}
-	sort.Strings(hosts)
-	out := make([]Action, 0, len(hosts))
-	for _, h := range hosts {
+	var out []Action
+	for _, h := range sortedHosts(byHost) {
 		l.last++
 		l.claims[l.last] = now
 		out = append(out, Claim{Host: h, ID: l.last, Servers: byHost[h]})
@@ -198,20 +203,63 @@
 	return []Action{g}
 }
 
-// handOver tells a promise that waited for this host's work to end.
+// Released takes another host's word that it no longer needs servers: the
+// promises to it end.
+func (e *Engine) Released(now clock.Milli, host string, servers []ServerAges) {
+	e.init(now)
+	for _, s := range servers {
+		e.learn(now, s)
+		l := e.leases.servers[s.Server]
+		if l != nil && l.other == host && now < l.given {
+			l.given, l.moved = now, now
+		}
+	}
+}
+
+// Leave stops the host from taking anything new: it answers what it has, and
+// lets the other candidates know that they may serve.
+func (e *Engine) Leave(now clock.Milli) []Action {
+	e.init(now)
+	e.leaving = true
+	var out []Action
+	for _, f := range e.order {
+		l := e.leases.servers[f.server]
+		l.held, l.releasing = 0, l.other != ""
+		out = append(out, e.handOver(now, f.server)...)
+	}
+	return out
+}
+
+func sortedHosts(byHost map[string][]ServerAges) []string {
+	hosts := make([]string, 0, len(byHost))
+	for h := range byHost {
+		hosts = append(hosts, h)
+	}
+	sort.Strings(hosts)
+	return hosts
+}
+
+// handOver tells the other candidate what waited for this host's work at a
+// server to end: a promise, or that the server is given up.
 func (e *Engine) handOver(now clock.Milli, server string) []Action {
 	l := e.leases.servers[server]
-	if l == nil || l.owed == 0 || now >= l.given {
+	if l == nil || (l.owed == 0 && !l.releasing) {
 		return nil
 	}
 	mine, busy := e.ages(now, server)
 	if busy {
 		return nil
 	}
-	mine.Granted = true
-	g := Grant{Host: l.other, ID: l.owed, Span: leaseSpan, Servers: []ServerAges{mine}}
-	l.owed = 0
-	return []Action{g}
+	var out []Action
+	if l.releasing {
+		out = append(out, Release{Host: l.other, Servers: []ServerAges{mine}})
+	}
+	if l.owed != 0 && now < l.given {
+		mine.Granted = true
+		out = append(out, Grant{Host: l.other, ID: l.owed, Span: leaseSpan, Servers: []ServerAges{mine}})
+	}
+	l.owed, l.releasing = 0, false
+	return out
 }
 
 func (e *Engine) rank(server string) int {
--- a/share/gate/ramp.go
+++ b/share/gate/ramp.go
@@ -65,10 +65,13 @@
 	bears := f.ramp.allowed(now, f.warm, f.Slots)
 	switch {
 	case e.leases.exclusive(now, f.server):
+	case e.fresh(now):
+		// The process that ran here before may have promised to keep off.
+		return 0
 	case bears < f.Slots:
 		bears /= 2
 	case !e.leases.settled(now, f.server):
-		bears = (bears + 1 - min(f.rank, 1)) / 2 // of an odd slot, the primary's is the larger half
+		bears = max(1-min(f.rank, 1), bears/2) // a single slot is the primary's
 	}
 	return min(bears, f.cap)
 }
