policy: give a query whose canary's server died a second canary

A second canary goes out once all peers know of the first death; when that dies too, the query is quarantined.

--- a/aggregator/core/core.go
+++ b/aggregator/core/core.go
@@ -441,7 +441,7 @@
 		}
 		c.act(now, c.gate.Arrive(now, gate.Call{
 			Key: key, Leaf: w.GetLeaf(), Caller: b.GetCaller(), Deadline: now + clock.Milli(b.GetBudgetMs()),
-			Fingerprint: b.GetFingerprint(), Canary: w.GetCanary(), Pin: job.Pin, Request: job,
+			Fingerprint: b.GetFingerprint(), Canary: w.GetCanary(), Again: w.GetAgain(), Pin: job.Pin, Request: job,
 		}))
 	}
 }
--- a/aggregator/leafs/codec.go
+++ b/aggregator/leafs/codec.go
@@ -25,7 +25,7 @@
 	stateDraining     = "draining"
 )
 
-// ErrForeign: the reply is not the one to the request.
+// ErrForeign means that a reply is not the one to the request.
 var ErrForeign = errors.New("reply does not belong to the request")
 
 // Job is what a call asks of a leaf.
--- a/aggregator/leafs/pool.go
+++ b/aggregator/leafs/pool.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// ErrStatus: a probe was answered with an error.
+// ErrStatus means that a probe was answered with an error.
 var ErrStatus = errors.New("probe was refused")
 
 func (p *Pool) probe(address, method, path, leaf string, id gate.ConnID) {
--- a/bench/virt/host.go
+++ b/bench/virt/host.go
@@ -125,7 +125,7 @@
 	h.cfg = cfg
 	now := h.World.Now()
 	hosts := h.World.live()
-	h.Fan.Configure(now, cfg, hosts)
+	h.Fan.Configure(cfg, hosts)
 	for _, o := range hosts {
 		h.Fan.HostLeaving(o.Name, o.Leaving)
 	}
@@ -198,6 +198,9 @@
 			w.answered(h, a)
 		case fanout.ShareStrike:
 			h.share(a.Strike)
+			if a.Query == 0 {
+				break
+			}
 			w.Clock.After(2*w.Deployment.Region, func() {
 				h.do(func() { h.actFan(h.Fan.Shared(w.Now(), a.Query)) })
 			})
@@ -242,7 +245,7 @@
 	for _, c := range a.Calls {
 		h.actGate(h.Gate.Arrive(now, gate.Call{
 			Key: gate.Key{Link: uint64(from.Index), ID: c.ID}, Leaf: c.Leaf, Caller: a.Caller,
-			Deadline: now + budget, Fingerprint: a.Fingerprint, Canary: c.Canary, Pin: a.Pin,
+			Deadline: now + budget, Fingerprint: a.Fingerprint, Canary: c.Canary, Again: c.Again, Pin: a.Pin,
 			Request: job{entry: from, query: a.Query, pin: a.Pin, shard: c.Shard, text: a.Text},
 		}))
 	}
--- a/entry/core/codec.go
+++ b/entry/core/codec.go
@@ -13,7 +13,7 @@
 		BudgetMs: uint32(budget), Fingerprint: a.Fingerprint, Trace: trace, Caller: a.Caller,
 	}
 	for _, c := range a.Calls {
-		b.Calls = append(b.Calls, &wire.Call{Id: c.ID, Leaf: c.Leaf, Shard: uint32(c.Shard), Canary: c.Canary})
+		b.Calls = append(b.Calls, &wire.Call{Id: c.ID, Leaf: c.Leaf, Shard: uint32(c.Shard), Canary: c.Canary, Again: c.Again})
 	}
 	return &wire.Envelope{Body: &wire.Envelope_Batch{Batch: b}}
 }
--- a/entry/core/core.go
+++ b/entry/core/core.go
@@ -216,7 +216,11 @@
 		case fanout.Answered:
 			c.answer(now, a)
 		case fanout.ShareStrike:
-			c.node.Share(now, a.Strike, func(now clock.Milli) { c.act(now, c.fan.Shared(now, a.Query)) })
+			c.node.Share(now, a.Strike, func(now clock.Milli) {
+				if a.Query != 0 {
+					c.act(now, c.fan.Shared(now, a.Query))
+				}
+			})
 		case fanout.SendUpdate:
 			c.sendUpdate(now, a)
 		case fanout.Forward:
@@ -434,8 +438,8 @@
 // owner is what the node tells its program; see node.Program.
 type owner struct{ c *Core }
 
-func (o owner) Configure(now clock.Milli, cfg *invent.Config, hosts []invent.Host) {
-	o.c.fan.Configure(now, cfg, hosts)
+func (o owner) Configure(_ clock.Milli, cfg *invent.Config, hosts []invent.Host) {
+	o.c.fan.Configure(cfg, hosts)
 	for name, l := range o.c.aggs {
 		if l != nil {
 			o.c.fan.HostUp(name)
--- a/fakes/lab/client.go
+++ b/fakes/lab/client.go
@@ -61,7 +61,7 @@
 	IDs        []string `json:"ids"`
 }
 
-// ErrNoAnswer: the host gave no whole answer.
+// ErrNoAnswer means that the host gave no whole answer.
 var ErrNoAnswer = errors.New("no answer")
 
 // Post sends a JSON body.
--- a/share/conf/conf.go
+++ b/share/conf/conf.go
@@ -45,7 +45,7 @@
 }
 
 // Faults is a list of faults as an error; errors.Is(err, ErrInvalid) holds.
-type Faults []Fault
+type Faults []Fault //nolint:errname // the plural says that it is a list
 
 // Error lists the faults, one a line.
 func (f Faults) Error() string {
--- a/share/fanout/engine.go
+++ b/share/fanout/engine.go
@@ -25,6 +25,8 @@
 	Leaf   string
 	Shard  int
 	Canary bool
+	// Again: a server died under the query's first canary; this is the second.
+	Again bool
 }
 
 // SendBatch sends a query's calls to one aggregator.
@@ -54,8 +56,8 @@
 	Trail  []Step
 }
 
-// ShareStrike tells all peers of a strike; the program calls Shared when they
-// have it.
+// ShareStrike tells all peers of a strike; with a query, the program calls
+// Shared when they have it.
 type ShareStrike struct {
 	Query  uint64
 	Strike poison.Strike
@@ -221,7 +223,7 @@
 
 // Configure puts a configuration and a host list in force. Queries that run
 // keep their pin.
-func (e *Engine) Configure(now clock.Milli, cfg *invent.Config, hosts []invent.Host) {
+func (e *Engine) Configure(cfg *invent.Config, hosts []invent.Host) {
 	e.init()
 	e.cfg = cfg
 	services := map[string]*service{}
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -38,6 +38,7 @@
 	rows        []query.Row
 	past        int // calls for pins that were given up
 	first       int // shards of the current pin that were asked
+	deaths      int // servers that died under its canaries
 	struck      bool
 	strikeUntil clock.Milli
 	done        bool
@@ -220,7 +221,7 @@
 	if ev != EventSent {
 		q.note(now, Step{Event: ev, Shard: i, Leaf: c.leaf.name, Host: c.host, Cause: st.last})
 	}
-	b.add(q, c.host, CallSpec{ID: e.lastCall, Leaf: c.leaf.name, Shard: i, Canary: canary})
+	b.add(q, c.host, CallSpec{ID: e.lastCall, Leaf: c.leaf.name, Shard: i, Canary: canary, Again: q.deaths > 0})
 }
 
 // batches gathers a query's calls by aggregator.
@@ -383,7 +384,8 @@
 	st.last = o.Reason
 	q.note(now, Step{Event: EventFailed, Shard: a.shard, Leaf: a.leaf.name, Host: a.host, Cause: o.Reason})
 	switch {
-	case o.Kind == query.Died && e.died(now, q.fingerprint, o.Strikes, o.RetryAfter):
+	case o.Kind == query.Died:
+		e.died(now, q.fingerprint, o.Strikes, o.RetryAfter)
 		return e.crashed(now, q)
 	case o.Reason == query.ReasonQuarantined:
 		return e.answerRefused(now, q, query.ReasonQuarantined, o.RetryAfter)
@@ -541,32 +543,32 @@
 	return append(out, e.fan(now, q)...), true
 }
 
-// crashed ends a query that brought down a backend server. Its answer waits
-// until the peers know, so that a resend through another host is refused.
+// crashed follows the death of a server under a query's canary. One server may
+// have died for another reason, so the query gets a second canary; when that
+// dies too, it is quarantined. In between, and before it is refused, the peers
+// are told, so that a resend through another host does not run meanwhile.
 func (e *Engine) crashed(now clock.Milli, q *running) []Action {
-	if q.struck {
-		return nil
-	}
-	q.struck = true
-	q.strikeUntil = now + strikeWait
-	out := e.cancelAll(q)
+	q.deaths++
 	strike := e.strikes.Get(now, q.fingerprint)
-	if q.canaries >= maxCanaries && strike.Count < maxCanaries {
-		// Two servers have the request. Their aggregators count one crash each
-		// and cannot know of the other's.
+	if q.deaths >= maxCanaries && strike.Count < maxCanaries {
+		// Each server's aggregator counts one crash and cannot know of the
+		// other's.
 		strike.Count, strike.Left = maxCanaries, poison.Quarantine
 		e.strikes.Merge(now, strike)
 	}
-	return append(out, ShareStrike{Query: q.ID, Strike: strike})
+	if strike.Count < maxCanaries && len(q.flying) > 0 {
+		return []Action{ShareStrike{Strike: strike}} // the other canary decides
+	}
+	q.struck = true
+	q.strikeUntil = now + strikeWait
+	return append(e.cancelAll(q), ShareStrike{Query: q.ID, Strike: strike})
 }
 
-// died takes a crash report and tells whether the request is refused now. The
-// aggregators count; an entry only learns, or one crash would count twice.
-func (e *Engine) died(now clock.Milli, fingerprint uint64, strikes int, left clock.Milli) bool {
+// died takes a crash report. The aggregators count; an entry only learns, or one
+// crash would count twice.
+func (e *Engine) died(now clock.Milli, fingerprint uint64, strikes int, left clock.Milli) {
 	e.strikes.Merge(now, poison.Strike{Fingerprint: fingerprint, Count: max(1, strikes), Left: left})
 	e.good.Drop(fingerprint)
-	_, blocked := e.strikes.Blocked(now, fingerprint)
-	return blocked
 }
 
 // Shared says that the peers know of a query's strike.
@@ -575,8 +577,14 @@
 	if q == nil || !q.struck {
 		return nil
 	}
-	left, _ := e.strikes.Blocked(now, q.fingerprint)
-	return e.answerRefused(now, q, query.ReasonCrashed, left)
+	strike := e.strikes.Get(now, q.fingerprint)
+	if strike.Count < maxCanaries && q.canaries < maxCanaries && now < q.until {
+		if out, sent := e.sendCanary(now, q); sent {
+			q.struck = false
+			return out
+		}
+	}
+	return e.answerRefused(now, q, query.ReasonCrashed, strike.Left)
 }
 
 // complete answers a query when no shard is open.
--- a/share/gate/flow.go
+++ b/share/gate/flow.go
@@ -51,7 +51,7 @@
 	if e.leaving {
 		return query.ReasonLeaving, 0
 	}
-	if left, blocked := e.strikes.Blocked(now, c.Fingerprint); blocked {
+	if left, blocked := e.strikes.Blocked(now, c.Fingerprint); blocked && !e.secondChance(now, c) {
 		return query.ReasonQuarantined, left
 	}
 	if why := e.closed(now, f); why != query.ReasonNone {
@@ -70,6 +70,12 @@
 	return query.ReasonNone, 0
 }
 
+// secondChance tells whether a request that brought down one server may run once
+// more: only for the query whose canary that was.
+func (e *Engine) secondChance(now clock.Milli, c Call) bool {
+	return c.Again && e.strikes.Get(now, c.Fingerprint).Count < 2
+}
+
 func (e *Engine) queueCap(f *leaf) int {
 	per := e.Policy.QueuePerSlot
 	if per == 0 {
@@ -291,7 +297,7 @@
 		if k.Canary {
 			e.proven.Add(k.proof())
 		}
-		if e.coldBySlowness(now, f, o.Took) {
+		if e.coldBySlowness(f, o.Took) {
 			f.ramp.begin(now, true)
 			out = append(out, Note{Leaf: f.Name, Event: "ramp started", Cause: "slow"})
 		}
--- a/share/gate/gate.go
+++ b/share/gate/gate.go
@@ -34,6 +34,8 @@
 	Deadline    clock.Milli
 	Fingerprint uint64
 	Canary      bool
+	// Again: a server died under this canary's predecessor of the same query.
+	Again bool
 	// Pin is the snapshot that a query runs on.
 	Pin invent.Pin
 	// Update is set for changes; they are run whatever was proven.
--- a/share/gate/ramp.go
+++ b/share/gate/ramp.go
@@ -90,7 +90,7 @@
 // neighbours do not. Comparing with the neighbours keeps a heavier mix of
 // queries, which slows all leafs alike, from cutting the whole service's
 // capacity.
-func (e *Engine) coldBySlowness(now clock.Milli, f *leaf, took clock.Milli) bool {
+func (e *Engine) coldBySlowness(f *leaf, took clock.Milli) bool {
 	usual := f.health.usual
 	if usual == 0 {
 		f.health.usual = float64(max(took, 1))
--- a/share/invent/parse.go
+++ b/share/invent/parse.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 
 	"dandelionstile/share/clock"
@@ -127,8 +128,8 @@
 	var f filePart
 	src, err := conf.Decode(p.Name, p.Body, &f)
 	if err != nil {
-		faults, ok := err.(conf.Faults)
-		if !ok {
+		var faults conf.Faults
+		if !errors.As(err, &faults) {
 			faults = conf.Faults{{File: p.Name, Line: 1, Problem: err.Error()}}
 		}
 		b.faults = append(b.faults, faults...)
