bench: property tests under a virtual clock, spread over many hosts

What it found, each mended here: - a host taking over a cold leaf within a second of its owner's death sent it work beside what the owner had left there: cold leafs now wait until the former owner's work must have ended. - the bench itself was not repeatable: a map's order decided the order of random draws. Excess on warm leafs is now counted apart from that on cold ones.

--- a/bench/deploy/deploy.go
+++ b/bench/deploy/deploy.go
@@ -84,6 +84,9 @@
 // Shards is how many shards a service is cut into: its leafs by its replicas.
 func (s Service) Shards() int { return max(1, s.Instances*s.Leafs/s.Replicas) }
 
+// reshaped is how many shards the second layout has: two are joined into one.
+func (s Service) reshaped() int { return max(1, s.Shards()/2) }
+
 // Timing that the bench gives every service.
 const (
 	Warm     = 5 * clock.Second
@@ -97,7 +100,7 @@
 	cfg.Inventory.Domains = d.Domains
 	for _, v := range d.Services {
 		cfg.Inventory.Services = append(cfg.Inventory.Services, invent.Service{
-			Name: v.Name, Layouts: []invent.Layout{{ID: 1, Shards: v.Shards()}},
+			Name: v.Name, Layouts: []invent.Layout{{ID: 1, Shards: v.Shards()}, {ID: 2, Shards: v.reshaped()}},
 			Warm: Warm, Deadline: Deadline, Patience: v.Patience,
 		})
 		for i := range v.Instances {
@@ -109,9 +112,10 @@
 				// Neighbouring instances lie in different domains; an instance's
 				// leafs hold different shards.
 				slot := j*v.Instances + i
+				shard := slot / v.Replicas % v.Shards()
 				s.Leafs = append(s.Leafs, invent.Leaf{
 					Name: fmt.Sprintf("%s-%d-%d", v.Name, i, j), Slots: v.Slots, Connections: v.Connections,
-					Holds: []invent.Hold{{Layout: 1, Shard: slot / v.Replicas % v.Shards()}},
+					Holds: []invent.Hold{{Layout: 1, Shard: shard}, {Layout: 2, Shard: shard % v.reshaped()}},
 				})
 			}
 			cfg.Inventory.Servers = append(cfg.Inventory.Servers, s)
--- /dev/null
+++ b/bench/fleet/fleet_test.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionstile/share/clock"
+)
+
+func start(hosts int) *Fleet {
+	f := &Fleet{Hosts: hosts, Domains: 3, Parts: 20, PartBytes: 400, Seed: 1}
+	f.Start()
+	f.Until(30*clock.Second, func() bool { return f.AllHave(1) })
+	return f
+}
+
+// The platform's owners see a bill for reads that nobody ordered. Every host
+// watches the platform itself, so the reads grow with the fleet, and each
+// change multiplies them.
+func TestReadsGrowMoreSlowlyThanTheFleet(t *testing.T) {
+	const minute = clock.Minute
+	rate := map[int]float64{}
+	for _, hosts := range []int{7, 70, 700} {
+		f := start(hosts)
+		assert.Assert(t, f.AllHave(1))
+		before := f.Reads
+		for range 9 { // 13,000 changes a day are 9 a minute
+			f.Publish()
+			f.Clock.Run(f.Clock.Now() + minute/9)
+		}
+		rate[hosts] = float64(f.Reads-before) / 60
+		assert.Equal(t, len(f.Backwards), 0)
+	}
+	t.Logf("platform reads a second with 7, 70, 700 hosts: %.2f, %.2f, %.2f", rate[7], rate[70], rate[700])
+	assert.Assert(t, rate[70] <= 3*rate[7])
+	assert.Assert(t, rate[700] <= 1.5*rate[70])
+}
+
+// A change does not reach a failure domain that is cut off from the platform,
+// although its hosts still reach others. The others must tell them.
+func TestDomainCutOffFromPlatformLearnsFromPeers(t *testing.T) {
+	f := start(21)
+	for _, n := range f.Nodes {
+		n.Isolated = n.Domain == "d00"
+	}
+	v := f.Publish()
+	took := f.Until(10*clock.Second, func() bool { return f.AllHave(v) })
+	assert.Assert(t, took <= 3*clock.Second, "took %d ms", took)
+}
+
+// Both watchers of a failure domain freeze; the platform goes on and a change
+// is published. The next hosts in rank must take over watching without a vote.
+func TestFrozenWatchersAreReplaced(t *testing.T) {
+	f := start(21)
+	for _, n := range f.Nodes {
+		n.Frozen = n.Engine.Rank == 0 || n.Engine.Rank == 1
+	}
+	f.Clock.Run(f.Clock.Now() + 10*clock.Second)
+	v := f.Publish()
+	took := f.Until(20*clock.Second, func() bool { return f.AllHave(v) })
+	assert.Assert(t, f.AllHave(v), "not in force after %d ms", took)
+	for _, n := range f.Nodes {
+		n.Thaw()
+	}
+	f.Clock.Run(f.Clock.Now() + 5*clock.Second)
+	assert.Assert(t, f.AllHave(v))
+	assert.Equal(t, len(f.Backwards), 0)
+}
+
+// After its own restart the platform answers with an old version for a while.
+// A host that believed it would put a failure domain back in service that
+// operators have taken out.
+func TestStalePlatformNeverReverts(t *testing.T) {
+	f := start(21)
+	v := f.Publish()
+	f.Until(5*clock.Second, func() bool { return f.AllHave(v) })
+	f.Stale = true
+	reads := f.Reads
+	f.Nodes[4].Restart()
+	f.Clock.Run(f.Clock.Now() + 40*clock.Second)
+	assert.Assert(t, f.AllHave(v), "the restarted host learns from its peers")
+	assert.Equal(t, len(f.Backwards), 0)
+	perSecond := float64(f.Reads-reads) / 40
+	assert.Assert(t, perSecond < 30, "watchers spin on the stale answer: %.0f reads/s", perSecond)
+}
+
+// A diskless host starts while the platform is down: it has nothing and cannot
+// read. Its peers must give it what is in force.
+func TestFreshHostWithPlatformDown(t *testing.T) {
+	f := start(7)
+	v := f.Publish()
+	f.Until(5*clock.Second, func() bool { return f.AllHave(v) })
+	f.Down = true
+	f.Nodes[3].Restart()
+	took := f.Until(10*clock.Second, func() bool { return f.AllHave(v) })
+	assert.Assert(t, took <= 3*clock.Second, "took %d ms", took)
+}
+
+// Two parts of the fleet are cut off from each other and each sees another
+// change; at the heal the lower must give way everywhere.
+func TestHealSettlesOnTheHighest(t *testing.T) {
+	f := start(21)
+	f.CutDomains("d00", "d01", true)
+	f.CutDomains("d00", "d02", true)
+	for _, n := range f.Nodes {
+		n.Isolated = n.Domain == "d00"
+	}
+	f.Clock.Run(f.Clock.Now() + 5*clock.Second)
+	f.Publish()
+	v := f.Publish()
+	f.Clock.Run(f.Clock.Now() + 5*clock.Second)
+	assert.Assert(t, !f.AllHave(v))
+	f.CutDomains("d00", "d01", false)
+	f.CutDomains("d00", "d02", false)
+	took := f.Until(10*clock.Second, func() bool { return f.AllHave(v) })
+	assert.Assert(t, took <= 3*clock.Second, "took %d ms", took)
+	assert.Equal(t, len(f.Backwards), 0)
+}
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -151,9 +151,10 @@
 	r.set("covered-share", s.CoveredShare())
 	r.set("extra-share", s.ExtraShare())
 	r.set("refused-share", s.RefusedShare())
-	cold, hidden := r.W.Excess()
-	r.set("excess", float64(cold))
-	r.set("excess-unseen", float64(hidden))
+	cold, unseen, warm := r.W.Excess()
+	r.set("excess-cold", float64(cold))
+	r.set("excess-unseen", float64(unseen))
+	r.set("excess-warm", float64(warm))
 	r.set("faults", float64(len(s.Faults)))
 }
 
--- a/bench/virt/leaf.go
+++ b/bench/virt/leaf.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 
 	"dandelionstile/bench/deploy"
 	"dandelionstile/share/clock"
@@ -70,8 +71,9 @@
 	mostConns   int
 
 	calls   int
-	excess  int // beyond what it bore, after a sign of the cold start was out
+	excess  int // beyond what it bore while cold, after a sign of that was out
 	hidden  int // the same before any sign was out
+	over    int // beyond its slots while warm
 	lastUse clock.Milli
 }
 
@@ -80,12 +82,13 @@
 		w: w, spec: l, server: s.Name, service: s.Service, domain: s.Domain, connect: v.Connect,
 		incarnation: 1, straggle: 1, conns: map[connKey]bool{}, running: map[attemptKey]func(){},
 	}
-	for _, h := range l.Holds {
-		f.holds = append(f.holds, invent.Pin{Layout: h.Layout, Version: 1})
-	}
+	f.holds = []invent.Pin{{Layout: 1, Version: 1}}
 	return f
 }
 
+// SetSnapshots changes what a leaf holds.
+func (f *Leaf) SetSnapshots(pins ...invent.Pin) { f.holds = pins }
+
 // bears is how many requests the leaf can have at once now.
 func (f *Leaf) bears() int {
 	if !f.warming {
@@ -164,6 +167,13 @@
 			delete(f.conns, k)
 		}
 	}
+	// The leaf sees the connections close and stops what was on them.
+	for k := range f.running {
+		if k.host == h.Index && k.incarnation == h.incarnation {
+			delete(f.running, k)
+			f.active--
+		}
+	}
 }
 
 // abort stops a query under way; an update runs to its end.
@@ -232,14 +242,17 @@
 	case f.draining:
 		f.finish(h, s, r, query.Outcome{Kind: query.NotRun, Reason: query.ReasonDraining})
 		return
-	case j.update == nil && !f.has(j.pin):
+	case j.update == nil && !f.has(j.pin, j.shard):
 		f.finish(h, s, r, query.Outcome{Kind: query.NotRun, Reason: query.ReasonSnapshot})
 		return
 	case f.active >= f.bears():
-		if f.unseen {
+		switch {
+		case !f.warming:
+			f.over++
+		case f.unseen:
 			f.hidden++
 			w.Clock.After(3, func() { f.unseen = false }) // when the reply is back
-		} else {
+		default:
 			f.excess++
 		}
 		f.finish(h, s, r, query.Outcome{Kind: query.Shed, Reason: query.ReasonShed})
@@ -283,7 +296,10 @@
 	})
 }
 
-func (f *Leaf) has(pin invent.Pin) bool {
+func (f *Leaf) has(pin invent.Pin, shard int) bool {
+	if mine, ok := f.spec.Shard(pin.Layout); !ok || mine != shard {
+		return false
+	}
 	for _, p := range f.holds {
 		if p == pin {
 			return true
@@ -364,14 +380,24 @@
 	conns := f.conns
 	f.conns = map[connKey]bool{}
 	for _, h := range f.w.Hosts {
-		for k := range conns {
-			if k.host == h.Index && k.incarnation == h.incarnation {
-				f.w.deliver(f.domain, h, func() { h.connLost(f, k.conn) })
-			}
+		for _, k := range connsOf(conns, h) {
+			f.w.deliver(f.domain, h, func() { h.connLost(f, k.conn) })
 		}
 	}
 }
 
+// connsOf lists a host's connections in order, so that runs repeat.
+func connsOf(conns map[connKey]bool, h *Host) []connKey {
+	var list []connKey
+	for k := range conns {
+		if k.host == h.Index && k.incarnation == h.incarnation {
+			list = append(list, k)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].conn < list[j].conn })
+	return list
+}
+
 // connLost tells the gate that a connection broke: a call on it is lost, an
 // idle one is just closed.
 func (h *Host) connLost(f *Leaf, id gate.ConnID) {
@@ -390,14 +416,10 @@
 func (w *World) Silence(share float64) {
 	for _, f := range w.order {
 		for _, h := range w.Hosts {
-			for id := range gate.ConnID(100000) {
-				k := connKey{h.Index, h.incarnation, id}
-				if _, ok := f.conns[k]; ok && w.Random.Float64() < share {
+			for _, k := range connsOf(f.conns, h) {
+				if w.Random.Float64() < share {
 					f.conns[k] = false
 				}
-				if int(id) > 4000 {
-					break
-				}
 			}
 		}
 	}
--- a/bench/virt/world.go
+++ b/bench/virt/world.go
@@ -201,13 +201,15 @@
 	})
 }
 
-// Excess counts the requests beyond what the leafs could bear.
-func (w *World) Excess() (cold, hidden int) {
+// Excess counts the requests beyond what leafs could bear: cold ones, cold ones
+// that had given no sign of it, and warm ones.
+func (w *World) Excess() (cold, unseen, warm int) {
 	for _, f := range w.order {
 		cold += f.excess
-		hidden += f.hidden
+		unseen += f.hidden
+		warm += f.over
 	}
-	return cold, hidden
+	return cold, unseen, warm
 }
 
 // MaxConns is the most connections that any leaf ever had, as a share of what
--- a/share/gate/ramp.go
+++ b/share/gate/ramp.go
@@ -68,6 +68,9 @@
 	case e.fresh(now):
 		// The process that ran here before may have promised to keep off.
 		return 0
+	case bears < f.Slots && !e.leases.settled(now, f.server):
+		// A cold leaf may still work on what its former owner sent.
+		return 0
 	case bears < f.Slots:
 		bears /= 2
 	case !e.leases.settled(now, f.server):
