--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 MODULES  := share $(PROGRAMS)
 GO       ?= go
 LINT     := $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+FUZZTIME ?= 20s
 
-.PHONY: all build demo tests lint bench
+.PHONY: all build demo tests lint bench capacity fuzz plots
 
 all: build
 
@@ -13,8 +14,31 @@
 	@mkdir -p bin
 	@for p in $(PROGRAMS); do $(GO) build -o bin/$$p ./$$p || exit 1; done
 
+# The whole path with real processes on loopback; exits 0 only on right answers.
 demo: build
 	@bin/fakes demo --bin bin
 
-tests: build
-	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
+# Real processes run in parallel, but not more at once than a small machine bears.
+tests:
+	@for m in $(MODULES); do (cd $$m && $(GO) vet ./... && $(GO) test -parallel 3 ./...) || exit 1; done
+
+lint:
+	@for m in $(MODULES); do (cd $$m && $(LINT) run -c ../.golangci.yml ./...) || exit 1; done
+
+# Deterministic figures in virtual time against bench/bounds.yaml.
+bench: build
+	@bin/bench check --bounds bench/bounds.yaml
+
+# Measures the slopes of docs/CAPACITY.md again and prints its table.
+capacity: build
+	@bin/bench capacity
+
+plots: build
+	@bin/bench plot --out docs/plots
+
+fuzz:
+	@cd share && for t in FuzzParse FuzzParseHosts; do $(GO) test ./invent -run '^$$' -fuzz "^$$t$$" -fuzztime $(FUZZTIME) || exit 1; done
+	@cd share && $(GO) test ./ticket -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	@cd share && $(GO) test ./mesh -run '^$$' -fuzz FuzzFrame -fuzztime $(FUZZTIME)
+	@cd aggregator && $(GO) test ./leafs -run '^$$' -fuzz FuzzReply -fuzztime $(FUZZTIME)
+	@cd entry && $(GO) test ./front -run '^$$' -fuzz FuzzBodies -fuzztime $(FUZZTIME)
--- /dev/null
+++ b/entry/front/front_test.go
@@ -0,0 +1,104 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"dandelionstile/entry/core"
+	"dandelionstile/share/httpd"
+	"dandelionstile/share/node"
+)
+
+// lonely is a front whose entry reaches neither platform nor peers.
+func lonely(t testing.TB) *Front {
+	t.Helper()
+	c := &core.Core{Log: zerolog.Nop(), Settings: node.Settings{
+		Host:     node.HostSettings{Name: "host-0", Domain: "a"},
+		Listen:   node.ListenSettings{Links: "127.0.0.1:0"},
+		Platform: node.PlatformSettings{Address: "127.0.0.1:1"},
+	}}
+	assert.NilError(t, c.Start())
+	t.Cleanup(func() { assert.NilError(t, c.Close()) })
+	return &Front{Core: c}
+}
+
+func post(f *Front, path, body string) (int, wireError, http.Header) {
+	w := httptest.NewRecorder()
+	f.handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+	var e wireError
+	_ = json.Unmarshal(w.Body.Bytes(), &e) // an answer that is no error leaves e empty
+	return w.Code, e, w.Header()
+}
+
+func TestBadRequestsNameTheField(t *testing.T) {
+	f := lonely(t)
+	for _, c := range []struct{ path, body, field string }{
+		{"/v1/query", `{`, "body"},
+		{"/v1/query", `[]`, "body"},
+		{"/v1/query", `{} {}`, "body"},
+		{"/v1/query", `{"text":"x"}`, "service"},
+		{"/v1/query", `{"service":"s","limit":-1}`, "limit"},
+		{"/v1/query", `{"service":"s","budget-ms":-1}`, "budget-ms"},
+		{"/v1/query", `{"service":"s","colour":1}`, "body"},
+		{"/v1/ids", `{"count":0}`, "count"},
+		{"/v1/ids", `{"count":100000}`, "count"},
+		{"/v1/updates", `{"service":"s","operation":"o","key":"k"}`, "id"},
+		{"/v1/updates", `{"service":"s","operation":"o","key":"k","id":"x"}`, "id"},
+		{"/v1/updates", `{"service":"s","operation":"o","id":"h.1.1"}`, "key"},
+	} {
+		status, e, _ := post(f, c.path, c.body)
+		assert.Equal(t, status, http.StatusBadRequest, c.body)
+		assert.Equal(t, e.Error, errBadRequest, c.body)
+		assert.Equal(t, e.Field, c.field, c.body)
+	}
+	status, e, _ := post(f, "/v1/query", `{"service":"`+strings.Repeat("x", maxBody)+`"}`)
+	assert.Equal(t, status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, e.Error, errBadRequest)
+}
+
+// A fresh host without a platform or peers must refuse at once and say when to
+// come back, not keep its caller waiting.
+func TestLonelyHostRefusesAtOnce(t *testing.T) {
+	f := lonely(t)
+	status, e, h := post(f, "/v1/query", `{"service":"s","text":"x","budget-ms":60000}`)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, e.Error, errRefused)
+	assert.Equal(t, e.Reason, "not-ready")
+	assert.Assert(t, e.RetryAfter > 0)
+	assert.Equal(t, h.Get("Retry-After"), "1")
+	assert.Assert(t, !f.Core.Ready())
+}
+
+func TestCloseWaits(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, ignore) })
+	f := lonely(t)
+	f.Address = "127.0.0.1:0"
+	assert.NilError(t, f.Start())
+	res, err := http.Post("http://"+f.Addr()+"/v1/ids", "application/json", strings.NewReader(`{"count":1}`))
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	http.DefaultClient.CloseIdleConnections()
+	assert.NilError(t, f.Close())
+}
+
+func FuzzBodies(f *testing.F) {
+	f.Add([]byte(`{"service":"s","text":"x","limit":3,"budget-ms":5}`))
+	f.Add([]byte(`{"count":1}`))
+	f.Add([]byte(`{"id":"h.1.1","service":"s"}`))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		for _, v := range []any{&wireQuery{}, &wireMint{}, &wireUpdate{}} {
+			r := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(body))
+			_ = httpd.ReadJSON(r, maxBody, v)
+		}
+	})
+}
--- a/fakes/lab/client.go
+++ b/fakes/lab/client.go
@@ -208,3 +208,33 @@
 	}
 	return nil
 }
+
+// statusBody is what is read of a program's status.
+type statusBody struct {
+	Node struct {
+		Versions []struct {
+			Key     string `json:"key"`
+			Version uint64 `json:"version"`
+		} `json:"versions"`
+	} `json:"node"`
+}
+
+// Version asks a program which version of a key it has in force; 0 when it does
+// not say.
+func (c *Client) Version(admin, key string) uint64 {
+	res, err := c.http.Get("http://" + admin + "/v1/status")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	var s statusBody
+	if json.NewDecoder(res.Body).Decode(&s) != nil {
+		return 0
+	}
+	for _, v := range s.Node.Versions {
+		if v.Key == key {
+			return v.Version
+		}
+	}
+	return 0
+}
--- a/share/fanout/engine_test.go
+++ b/share/fanout/engine_test.go
@@ -90,3 +90,227 @@
 	e.Configure(cfg, hosts)
 	assert.Equal(t, len(calls(ask(e, 1, 1))), 2)
 }
+
+// proven returns an engine whose test query needs no canary.
+func proven(policy Policy) *Engine {
+	policy.NoCanary = true
+	return testEngine(policy)
+}
+
+func TestCompleteAnswer(t *testing.T) {
+	e := proven(Policy{})
+	sent := calls(ask(e, 1, 1))
+	assert.Equal(t, len(sent), 2)
+	e.Outcome(5, ok(sent[0].ID, "x"))
+	a, done := answerOf(e.Outcome(6, ok(sent[1].ID, "y")))
+	assert.Assert(t, done)
+	assert.Assert(t, a.Coverage.Complete())
+	assert.Equal(t, len(a.Rows), 2)
+	assert.Equal(t, a.Extra, 0)
+}
+
+// An answer claims full coverage although a shard never answered: its replicas
+// are lost, one after the other.
+func TestLostReplicasAreReported(t *testing.T) {
+	e := proven(Policy{})
+	sent := calls(ask(e, 1, 1))
+	e.Outcome(5, ok(sent[0].ID, "x"))
+	again := calls(e.Outcome(6, query.Outcome{Call: sent[1].ID, Kind: query.Unknown, Reason: query.ReasonReset}))
+	assert.Equal(t, len(again), 1)
+	a, done := answerOf(e.Outcome(7, query.Outcome{Call: again[0].ID, Kind: query.Unknown, Reason: query.ReasonReset}))
+	assert.Assert(t, done)
+	assert.Equal(t, a.Coverage.Answered, 1)
+	assert.DeepEqual(t, a.Coverage.Missing, []query.Missing{{Shard: sent[1].Shard, Reason: query.ReasonReset}})
+	assert.Equal(t, a.Extra, 1)
+}
+
+// A late reply of an overtaken call is merged after the answer has gone, or into
+// the next query's.
+func TestLateReplyChangesNothing(t *testing.T) {
+	e := proven(Policy{})
+	sent := calls(ask(e, 1, 1))
+	e.Outcome(5, ok(sent[0].ID, "x"))
+	_, done := answerOf(e.Outcome(6, ok(sent[1].ID, "y")))
+	assert.Assert(t, done)
+	assert.Equal(t, len(e.Outcome(7, ok(sent[1].ID, "y"))), 0)
+	next := calls(ask(e, 8, 2))
+	e.Outcome(9, ok(next[0].ID, "z"))
+	a, _ := answerOf(e.Outcome(9, ok(next[1].ID, "w")))
+	assert.Equal(t, len(a.Rows), 2)
+}
+
+// The index moves on while a query runs and no replica holds its snapshot any
+// more. The answer must rest on one snapshot: the query starts over on the next.
+func TestQueryStartsOverOnTheNextSnapshot(t *testing.T) {
+	e := proven(Policy{})
+	sent := calls(ask(e, 1, 1))
+	e.Outcome(2, ok(sent[0].ID, "old"))
+	next := invent.Pin{Layout: 1, Version: 2}
+	for _, name := range []string{"a0", "a1", "b0", "b1"} {
+		e.Feedback(query.Feedback{Leaf: name, Limit: 2, Holds: []invent.Pin{next}})
+	}
+	out := e.Outcome(3, query.Outcome{Call: sent[1].ID, Kind: query.NotRun, Reason: query.ReasonSnapshot})
+	again := calls(out)
+	assert.Equal(t, len(again), 2)
+	e.Outcome(4, ok(again[0].ID, "new"))
+	a, done := answerOf(e.Outcome(5, ok(again[1].ID, "new too")))
+	assert.Assert(t, done)
+	assert.Equal(t, a.Pin, next)
+	for _, r := range a.Rows {
+		assert.Assert(t, r.Key != "old")
+	}
+	assert.Equal(t, a.Extra, 1) // the call whose result was thrown away
+}
+
+// Back ends fail and every caller's query is retried on top of the load, which
+// keeps them down. The budget must run dry.
+func TestRetryBudgetRunsDry(t *testing.T) {
+	e := proven(Policy{})
+	extra, first := 0, 0
+	for id := range uint64(200) {
+		sent := calls(ask(e, clock.Milli(id+1), id+1))
+		first += len(sent)
+		for _, c := range sent {
+			extra += len(calls(e.Outcome(clock.Milli(id+1), query.Outcome{Call: c.ID, Kind: query.Unknown, Reason: query.ReasonReset})))
+		}
+		e.Tick(clock.Milli(id + 1))
+	}
+	assert.Assert(t, float64(extra) <= budgetBurst+float64(first*defaultBudgetPercent)/100+1, "%d extra calls for %d", extra, first)
+}
+
+// A hedge that waits in a queue helps nobody and adds load where there is too
+// much already.
+func TestHedgeGoesOnlyToAFreeLeaf(t *testing.T) {
+	e := proven(Policy{})
+	sent := calls(ask(e, 1, 1))
+	for _, name := range []string{"a0", "a1", "b0", "b1"} {
+		e.Feedback(query.Feedback{Leaf: name, Limit: 2, Busy: 2, Holds: []invent.Pin{pin}})
+	}
+	assert.Equal(t, len(calls(e.Tick(1+hedgeUnknown))), 0)
+	for _, name := range []string{"a0", "a1", "b0", "b1"} {
+		e.Feedback(query.Feedback{Leaf: name, Limit: 2, Holds: []invent.Pin{pin}})
+	}
+	hedges := calls(e.Tick(2 + hedgeUnknown))
+	assert.Equal(t, len(hedges), 2)
+	assert.Assert(t, hedges[0].Leaf != sent[0].Leaf)
+}
+
+// A failure domain that is out must not get a call even for a shard that only it
+// could answer; the answer says why the shard is missing.
+func TestDomainOutIsNotAsked(t *testing.T) {
+	e := proven(Policy{})
+	cfg, hosts := testConfig()
+	cfg.Rules.DomainsOut = []string{"a", "b"}
+	e.Configure(cfg, hosts)
+	a, done := answerOf(ask(e, 1, 1))
+	assert.Assert(t, done)
+	assert.Equal(t, a.Refused, query.ReasonNotReady)
+	cfg.Rules.DomainsOut = []string{"b"}
+	e.Configure(cfg, hosts)
+	for _, c := range calls(ask(e, 2, 2)) {
+		assert.Assert(t, c.Leaf[0] == 'a')
+	}
+}
+
+// A query crashes each server that it runs on. It gets one canary, and a second
+// one once all hosts know of the first crash; then it is refused at once.
+func TestCrashingQueryRunsTwiceAtMost(t *testing.T) {
+	e := testEngine(Policy{})
+	canary := calls(ask(e, 1, 1))
+	assert.Equal(t, len(canary), 1)
+	out := e.Outcome(2, query.Outcome{Call: canary[0].ID, Kind: query.Died, Strikes: 1, RetryAfter: 1000})
+	assert.Equal(t, len(calls(out)), 0)
+	second := calls(e.Shared(3, 1))
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, second[0].Again)
+	e.Outcome(4, query.Outcome{Call: second[0].ID, Kind: query.Died, Strikes: 2, RetryAfter: 600000})
+	a, done := answerOf(e.Shared(5, 1))
+	assert.Assert(t, done)
+	assert.Equal(t, a.Refused, query.ReasonCrashed)
+	a, done = answerOf(ask(e, 6, 2))
+	assert.Assert(t, done)
+	assert.Equal(t, a.Refused, query.ReasonQuarantined)
+	assert.Assert(t, a.RetryAfter > 0)
+}
+
+// startUpdate runs a new update and returns its call.
+func startUpdate(t *testing.T, e *Engine, number uint64) (Update, SendUpdate) {
+	t.Helper()
+	e.Incarnate(5)
+	ids, err := e.Mint(1, 1)
+	assert.NilError(t, err)
+	u := Update{Number: number, ID: ids[0], Service: "search", Operation: "status-update", Key: "k", Body: "b", Deadline: 500}
+	sent, isSend := e.StartUpdate(1, u)[0].(SendUpdate)
+	assert.Assert(t, isSend)
+	return u, sent
+}
+
+// An update's aggregator dies with it. Whether it ran is not known, so it is
+// never sent again by the system, nor when its caller sends it again.
+func TestUnknownUpdateIsNeverSentAgain(t *testing.T) {
+	e := testEngine(Policy{})
+	u, sent := startUpdate(t, e, 1)
+	out := e.HostDown(2, sent.Host)
+	assert.Equal(t, len(out), 1)
+	assert.Equal(t, out[0].(UpdateAnswered).Result.Kind, query.Unknown)
+	u.Number = 2
+	again := e.StartUpdate(3, u)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].(UpdateAnswered).Result.Kind, query.Unknown)
+}
+
+// An update that was refused before it ran is tried at another replica, and its
+// caller's resend may run too when all refused.
+func TestRefusedUpdateMayRunElsewhere(t *testing.T) {
+	e := testEngine(Policy{})
+	u, sent := startUpdate(t, e, 1)
+	refused := UpdateResult{Kind: query.NotRun, Reason: query.ReasonDraining}
+	next, isSend := e.UpdateOutcome(2, sent.Call, refused)[0].(SendUpdate)
+	assert.Assert(t, isSend)
+	assert.Assert(t, next.Leaf != sent.Leaf)
+	out := e.UpdateOutcome(3, next.Call, refused)
+	assert.Equal(t, out[0].(UpdateAnswered).Result.Kind, query.NotRun)
+	u.Number = 2
+	_, isSend = e.StartUpdate(4, u)[0].(SendUpdate)
+	assert.Assert(t, isSend)
+}
+
+// An update arrives twice at the same instant: it runs once, and both callers
+// get its one result.
+func TestSameUpdateTwiceAtOnce(t *testing.T) {
+	e := testEngine(Policy{})
+	u, sent := startUpdate(t, e, 1)
+	u.Number = 2
+	assert.Equal(t, len(e.StartUpdate(1, u)), 0)
+	out := e.UpdateOutcome(2, sent.Call, UpdateResult{Kind: query.OK, Body: "done"})
+	assert.Equal(t, len(out), 2)
+	for _, a := range out {
+		assert.Equal(t, a.(UpdateAnswered).Result.Body, "done")
+	}
+	u.Number, u.Body = 3, "another charge"
+	reused := e.StartUpdate(3, u)[0].(UpdateAnswered).Result
+	assert.Equal(t, reused.Reason, query.ReasonReused)
+}
+
+// The owner of an id is away. Nothing runs now, but an earlier sending may have
+// run, so the caller must not be told otherwise.
+func TestUnreachableOwnerIsUnknown(t *testing.T) {
+	e := testEngine(Policy{})
+	u, _ := startUpdate(t, e, 1)
+	u.Number, u.ID.Host = 9, "host-b"
+	_, isForward := e.StartUpdate(1, u)[0].(Forward)
+	assert.Assert(t, isForward)
+	out := e.OwnerDown("host-b")
+	assert.Equal(t, out[0].(UpdateAnswered).Result.Kind, query.Unknown)
+	assert.Assert(t, out[0].(UpdateAnswered).Result.RetryAfter > 0)
+}
+
+// One caller fills the house; another, far below its share, is turned away with
+// it.
+func TestGreedyCallerDoesNotLockOthersOut(t *testing.T) {
+	var d door
+	for d.enter("greedy", false) {
+	}
+	assert.Assert(t, d.enter("modest", false))
+	assert.Assert(t, !d.enter("greedy", false))
+}
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -431,7 +431,9 @@
 // canaryFailed moves the canary to another leaf. A leaf that refused has not
 // run it and proves nothing; but only two may ever have run it.
 func (e *Engine) canaryFailed(now clock.Milli, q *running, o query.Outcome) []Action {
-	if !o.Kind.Ran() {
+	if !o.Kind.Ran() || o.Reason == query.ReasonSilent {
+		// A connection that went silent says nothing of the request: a server
+		// that it had brought down would have closed the connection.
 		q.canaries--
 	}
 	if len(q.flying) > 0 {
@@ -477,7 +479,7 @@
 		return candidate{}, false
 	}
 	switch o.Reason {
-	case query.ReasonNotOwner, query.ReasonLeaving, query.ReasonWaking, query.ReasonCold:
+	case query.ReasonNotOwner, query.ReasonLeaving, query.ReasonWaking, query.ReasonCold, query.ReasonBusy:
 	default:
 		return candidate{}, false
 	}
@@ -503,7 +505,7 @@
 		return 0, false
 	}
 	switch o.Reason {
-	case query.ReasonCold, query.ReasonWaking, query.ReasonNotOwner, query.ReasonLeaving:
+	case query.ReasonCold, query.ReasonWaking, query.ReasonNotOwner, query.ReasonLeaving, query.ReasonBusy:
 	case query.ReasonQueueFull:
 		if q.service.Patience < 100 {
 			return 0, false
--- a/share/gate/gate_test.go
+++ b/share/gate/gate_test.go
@@ -100,3 +100,176 @@
 	assert.Equal(t, replies(out)[0].Kind, query.NotRun)
 	assert.Equal(t, replies(out)[0].Reason, query.ReasonUnreachable)
 }
+
+// A caller hears nothing for as long as it is willing to wait, though the leaf
+// had no room from the start. The refusal must come at once and say when to
+// come back.
+func TestFullQueueIsRefusedAtOnce(t *testing.T) {
+	e, now := start(t)
+	var last []Action
+	for id := range uint64(4 + 16 + 1) {
+		last = arrive(e, now, id+1)
+	}
+	got := replies(last)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Kind, query.NotRun)
+	assert.Equal(t, got[0].Reason, query.ReasonQueueFull)
+	assert.Assert(t, got[0].RetryAfter > 0)
+}
+
+// A server restarts under load and falls over again: it gets all of its slots'
+// worth of work while its caches are empty.
+func TestRestartedLeafIsWarmedUp(t *testing.T) {
+	e, now := start(t)
+	e.Probed(now, "l", e.leafs["l"].sorted()[0].id, Sign{Incarnation: 2}, nil)
+	for id := range uint64(8) {
+		arrive(e, now, id+1)
+	}
+	assert.Equal(t, e.leafs["l"].busy, 1)
+	now += 500
+	e.dispatch(now, e.leafs["l"])
+	assert.Equal(t, e.leafs["l"].busy, 2)
+}
+
+// An abandoned query still runs at its leaf. If its slot were given away at
+// once, the leaf would have more than it bears; if its late reply were taken for
+// the next call's, a caller would get another's rows.
+func TestCancelledCallKeepsItsSlot(t *testing.T) {
+	e, now := start(t)
+	first := sends(arrive(e, now, 1))[0]
+	out := e.Cancel(now, first.Call.Key)
+	assert.Equal(t, replies(out)[0].Reason, query.ReasonCancelled)
+	assert.Equal(t, e.leafs["l"].busy, 1)
+	late := finishCall(e, now+5, first, query.OK, Sign{Incarnation: 1})
+	assert.Equal(t, len(replies(late)), 0)
+	assert.Equal(t, e.leafs["l"].busy, 0)
+}
+
+// A host sleeps through the rule that takes its failure domain out, wakes up,
+// and sends what was in its queue.
+func TestPauseHoldsNewWorkBack(t *testing.T) {
+	e, now := start(t)
+	now += 5000
+	_, paused := e.Tick(now)
+	assert.Assert(t, paused)
+	out := arrive(e, now, 1)
+	assert.Equal(t, len(sends(out)), 0)
+	assert.Equal(t, replies(out)[0].Reason, query.ReasonWaking)
+	e.Unfence()
+	assert.Equal(t, len(sends(arrive(e, now, 2))), 1)
+}
+
+// Operators take the failure domain out while calls wait for a leaf in it.
+func TestDomainOutFlushesTheQueue(t *testing.T) {
+	e, now := start(t)
+	for id := range uint64(6) {
+		arrive(e, now, id+1)
+	}
+	cfg := testConfig()
+	cfg.Rules.DomainsOut = []string{"a"}
+	got := replies(e.Configure(now, cfg, alone))
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].Reason, query.ReasonDomainOut)
+	assert.Equal(t, got[0].Kind, query.NotRun)
+	assert.Equal(t, replies(arrive(e, now, 9))[0].Reason, query.ReasonDomainOut)
+}
+
+// A leaving server says so in a refusal, its state endpoint lags and says that
+// it is well. The lagging word alone must not bring it back.
+func TestDrainIsNotEndedByOneLaggingProbe(t *testing.T) {
+	e, now := start(t)
+	s := sends(arrive(e, now, 1))[0]
+	finishCall(e, now, s, query.NotRun, Sign{Incarnation: 1, Draining: true})
+	probe := e.leafs["l"].sorted()[0].id
+	e.Probed(now+100, "l", probe, Sign{Incarnation: 1}, nil)
+	assert.Equal(t, replies(arrive(e, now+100, 2))[0].Reason, query.ReasonDraining)
+	e.Probed(now+drainHold, "l", probe, Sign{Incarnation: 1}, nil)
+	assert.Equal(t, len(sends(arrive(e, now+drainHold, 3))), 1)
+}
+
+// The same new query arrives many times at once and crashes the server. Only one
+// may have run; the others are answered as not run.
+func TestOnlyOneCanaryOfAQueryRuns(t *testing.T) {
+	e, now := start(t)
+	var sent []Send
+	for id := range uint64(3) {
+		sent = append(sent, sends(e.Arrive(now, Call{
+			Key: Key{1, id + 1}, Leaf: "l", Deadline: now + 1000, Fingerprint: 77, Canary: true,
+		}))...)
+	}
+	assert.Equal(t, len(sent), 1)
+	out := e.Done(now+1, Result{
+		Leaf: "l", Conn: sent[0].Conn, Key: sent[0].Call.Key, ConnLost: true,
+		Outcome: query.Outcome{Kind: query.Died, Reason: query.ReasonReset},
+	})
+	got := replies(out)
+	assert.Equal(t, len(got), 3)
+	notRun := 0
+	for _, o := range got {
+		if o.Kind == query.NotRun {
+			notRun++
+		}
+	}
+	assert.Equal(t, notRun, 2)
+}
+
+// A whole server dies under popular queries that it has answered a thousand
+// times. They are not to blame.
+func TestProvenQueryIsNotBlamed(t *testing.T) {
+	e, now := start(t)
+	s := sends(arrive(e, now, 1))[0]
+	out := e.Done(now+1, Result{
+		Leaf: "l", Conn: s.Conn, Key: s.Call.Key, ConnLost: true,
+		Outcome: query.Outcome{Kind: query.Died, Reason: query.ReasonReset},
+	})
+	assert.Equal(t, replies(out)[0].Kind, query.Unknown)
+	assert.Equal(t, len(e.Strikes(now)), 0)
+}
+
+// Two aggregators both believe that a cold leaf is theirs, and each gives it all
+// that it bears.
+func TestTwoBelieversShareAColdLeaf(t *testing.T) {
+	hosts := []invent.Host{{Name: "host-a", Domain: "a"}, {Name: "host-b", Domain: "a"}}
+	sum := 0
+	for _, name := range []string{"host-a", "host-b"} {
+		e := &Engine{Self: name, Domain: "a"}
+		e.Configure(0, testConfig(), hosts)
+		now := clock.Milli(0)
+		for ; now < 6000; now += 50 {
+			probeAll(e, now, tick(e, now), Sign{Incarnation: 1})
+		}
+		f := e.leafs["l"]
+		f.rank = 0
+		f.ramp.begin(now-750, true) // bears three of four
+		sum += e.limit(now, f)
+	}
+	assert.Assert(t, sum <= 3, "together they send %d where the leaf bears 3", sum)
+}
+
+// A process restarts and does not know that it had promised to keep off. The
+// other relies on the promise.
+func TestPromiseOutlivesARestart(t *testing.T) {
+	hosts := []invent.Host{{Name: "host-a", Domain: "a"}, {Name: "host-b", Domain: "a"}}
+	e := &Engine{Self: "host-a", Domain: "a"}
+	e.Configure(100000, testConfig(), hosts)
+	assert.Equal(t, e.limit(100000+leaseSpan-1, e.leafs["l"]), 0)
+}
+
+// A connection goes silent under a call while others work: the call is given up
+// and the leaf stays in service.
+func TestSilentConnectionDoesNotCondemnItsLeaf(t *testing.T) {
+	e, now := start(t)
+	s := sends(arrive(e, now, 1))[0]
+	other := sends(arrive(e, now, 2))[0]
+	finishCall(e, now+900, other, query.OK, Sign{Incarnation: 1})
+	out := tick(e, now+990)
+	out = append(out, tick(e, now+1000)...)
+	lost := 0
+	for _, a := range out {
+		if shut, ok := a.(Shut); ok && shut.Conn == s.Conn {
+			lost++
+		}
+	}
+	assert.Equal(t, lost, 1)
+	assert.Assert(t, !e.leafs["l"].health.down)
+}
--- /dev/null
+++ b/share/mesh/mesh_test.go
@@ -0,0 +1,135 @@
+package mesh
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"gotest.tools/v3/assert"
+
+	"dandelionstile/share/wire"
+)
+
+// recorder keeps what a mesh reports.
+type recorder struct {
+	mu     sync.Mutex
+	up     []*Link
+	down   int
+	frames []*wire.Envelope
+}
+
+func (r *recorder) Up(l *Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.up = append(r.up, l)
+}
+
+func (r *recorder) Frame(_ *Link, m *wire.Envelope) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frames = append(r.frames, m)
+}
+
+func (r *recorder) Down(*Link, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down++
+}
+
+func (r *recorder) RTT(*Link, time.Duration) {}
+
+func (r *recorder) counts() (up, down, frames int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.up), r.down, len(r.frames)
+}
+
+func (r *recorder) await(t *testing.T, what string, cond func(up, down, frames int) bool) {
+	t.Helper()
+	for range 1000 {
+		if cond(r.counts()) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("still waiting: %s", what)
+}
+
+func pair(t *testing.T) (server, client *recorder, addr string, c *Mesh) {
+	t.Helper()
+	server, client = &recorder{}, &recorder{}
+	s := &Mesh{Hello: &wire.Hello{Host: "s"}, Handler: server}
+	c = &Mesh{Hello: &wire.Hello{Host: "c"}, Handler: client}
+	at, err := s.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		assert.NilError(t, c.Close())
+		assert.NilError(t, s.Close())
+	})
+	c.Dial(at.String())
+	client.await(t, "link", func(up, _, _ int) bool { return up == 1 })
+	return server, client, at.String(), c
+}
+
+func TestMessagesPassAndCloseWaits(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, ignore) })
+	server, client, _, _ := pair(t)
+	l := client.up[0]
+	assert.Equal(t, l.Peer.GetHost(), "s")
+	for range 100 {
+		assert.NilError(t, l.Send(&wire.Envelope{Body: &wire.Envelope_Cancel{Cancel: &wire.Cancel{Calls: []uint64{1}}}}))
+	}
+	server.await(t, "frames", func(_, _, frames int) bool { return frames == 100 })
+}
+
+// A stranger, or a broken peer, connects to the links' port and sends garbage.
+// Its connection must go, and no other link with it.
+func TestGarbageEndsOnlyItsOwnLink(t *testing.T) {
+	server, client, addr, _ := pair(t)
+	for _, garbage := range [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), bytes.Repeat([]byte{0xff}, 4096), {0, 1, 0, 0}} {
+		conn, err := net.Dial("tcp", addr)
+		assert.NilError(t, err)
+		_, err = conn.Write(garbage)
+		assert.NilError(t, err)
+		_ = conn.Close()
+	}
+	assert.NilError(t, client.up[0].Send(&wire.Envelope{Body: &wire.Envelope_Cancel{Cancel: &wire.Cancel{}}}))
+	server.await(t, "the good link's frame", func(_, _, frames int) bool { return frames == 1 })
+}
+
+// A peer sends a message larger than any; memory must not go with it.
+func TestOversizeMessageClosesTheLink(t *testing.T) {
+	server, client, _, _ := pair(t)
+	big := &wire.Envelope{Body: &wire.Envelope_Delta{Delta: &wire.Delta{Changed: []*wire.Item{{Body: make([]byte, MaxFrame+1)}}}}}
+	assert.NilError(t, client.up[0].Send(big))
+	server.await(t, "link down", func(_, down, frames int) bool { return down == 1 && frames == 0 })
+}
+
+func FuzzFrame(f *testing.F) {
+	var b bytes.Buffer
+	_, err := protodelim.MarshalTo(&b, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: &wire.Beat{Sequence: 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var m wire.Envelope
+		if err := unmarshal(bufio.NewReader(bytes.NewReader(body)), &m); err != nil {
+			return
+		}
+		if o := m.GetOutcomes(); o != nil {
+			for _, one := range o.GetOutcomes() {
+				if k := wire.OutcomeFrom(one).Kind; k.String() == "invalid" {
+					t.Fatal("kind that is none")
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/share/ticket/ticket_test.go
@@ -0,0 +1,81 @@
+package ticket
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionstile/share/clock"
+)
+
+// Whatever is sent in whatever order, no id is let run again unless it was
+// reported not to have run.
+func TestAnIDRunsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Book[string]{Host: "h", Incarnation: 3}
+		var now clock.Milli
+		var ids []ID
+		ran := map[ID]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += clock.Milli(rapid.IntRange(0, 100000).Draw(t, "wait"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				minted, err := b.Mint(now, rapid.IntRange(1, 5).Draw(t, "n"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				ids = append(ids, minted...)
+			default:
+				if len(ids) == 0 {
+					continue
+				}
+				id := ids[rapid.IntRange(0, len(ids)-1).Draw(t, "id")]
+				verdict, _ := b.Begin(now, id, 1)
+				if verdict != Run {
+					continue
+				}
+				if ran[id] {
+					t.Fatalf("%s may run again", id)
+				}
+				if rapid.Bool().Draw(t, "runs") {
+					ran[id] = true
+					b.Finish(id, "done")
+				} else {
+					b.Reopen(id)
+				}
+			}
+		}
+	})
+}
+
+func TestForeignAndForgottenIDs(t *testing.T) {
+	b := Book[string]{Host: "h", Incarnation: 3}
+	ids, err := b.Mint(1, 1)
+	assert.NilError(t, err)
+	for _, c := range []struct {
+		id   ID
+		want Verdict
+	}{
+		{ID{"other", 3, 1}, Foreign},
+		{ID{"h", 2, 1}, Lost},
+		{ID{"h", 3, 99}, Unissued},
+	} {
+		got, _ := b.Begin(1, c.id, 1)
+		assert.Equal(t, got, c.want)
+	}
+	got, _ := b.Begin(2+Life, ids[0], 1)
+	assert.Equal(t, got, Lost)
+}
+
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"host-1.abc.1", "", "..", "h.1.", "a.b.c.d", "h.01.1"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		id, err := Parse(s)
+		if err == nil && id.String() != s {
+			t.Fatalf("%q reads as %q", s, id)
+		}
+	})
+}
