--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -17,15 +17,19 @@
 
 // Sizes of messages on a link, in bytes, with framing.
 const (
-	beatBytes   = 60
+	beatBytes   = 90
+	pingBytes   = 64 // and as much for its answer
 	stampBytes  = 40
-	headerBytes = 30
+	headerBytes = 65
+	// packing is how much smaller a part is on a link; slope.Packing measures
+	// it on files as operators write them.
+	packing = 5
 )
 
 // Timing of the fake links and platform.
 const (
 	tickEvery = 250 * clock.Milli(1)
-	beatEvery = clock.Second
+	beatEvery = 2 * clock.Second
 	readTime  = 5 * clock.Milli(1)
 	watchTime = 30 * clock.Second
 	linkLost  = 2 * clock.Second // until a silent link is given up
@@ -231,7 +235,7 @@
 	age, heard := n.Engine.PlatformAge(now)
 	digest := n.Engine.Digest()
 	for _, p := range n.peers() {
-		n.send(p, beatBytes, func(to *Node) {
+		n.send(p, beatBytes+pingBytes, func(to *Node) {
 			to.act(to.Engine.Beat(n.f.Clock.Now(), n.Name, digest, age, heard))
 		})
 	}
@@ -275,7 +279,7 @@
 		case spread.SendPull:
 			n.send(a.Peer, stampBytes, func(to *Node) { to.act(to.Engine.Pull(f.Clock.Now(), n.Name, a.Key, a.Have)) })
 		case spread.SendDelta:
-			n.send(a.Peer, a.Delta.Size()+headerBytes, func(to *Node) { to.act(to.Engine.Delta(f.Clock.Now(), n.Name, a.Delta)) })
+			n.send(a.Peer, a.Delta.Size()/packing+headerBytes, func(to *Node) { to.act(to.Engine.Delta(f.Clock.Now(), n.Name, a.Delta)) })
 		case spread.SendStamps:
 			n.send(a.Peer, headerBytes+stampBytes*len(a.Stamps), func(to *Node) { to.act(to.Engine.Stamps(f.Clock.Now(), n.Name, a.Stamps)) })
 		case spread.ReadPlatform:
--- /dev/null
+++ b/bench/slope/measure.go
@@ -0,0 +1,305 @@
+package slope
+
+import (
+	"fmt"
+
+	"dandelionstile/bench/fleet"
+	"dandelionstile/share/clock"
+	"dandelionstile/share/fanout"
+	"dandelionstile/share/gate"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/query"
+	"dandelionstile/share/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Domains at the size to design for.
+const domains = 14
+
+// mustParse parses files that this package wrote itself.
+func mustParse(leafs int) *invent.Config {
+	cfg, err := invent.Parse(1, inventory(leafs, domains))
+	if err != nil {
+		panic(err)
+	}
+	return cfg
+}
+
+// Query measures an entry's decisions per query, by its shards.
+func Query() Line {
+	l := Line{Name: "entry: decisions per query", Unit: "us", Per: "shard"}
+	for _, shards := range []int{10, 70, 210} {
+		cfg := mustParse(shardsPerLayout * replicas)
+		cfg.Inventory.Services[0].Layouts[0].Shards = shards
+		kept := cfg.Inventory.Servers[:0]
+		for _, s := range cfg.Inventory.Servers {
+			if s.Leafs[0].Holds[0].Shard < shards && s.Leafs[1].Holds[0].Shard < shards {
+				kept = append(kept, s)
+			}
+		}
+		cfg.Inventory.Servers = kept
+		e := entry(cfg, hostList(28, domains), fanout.Policy{NoCanary: true})
+		now, id := clock.Milli(1), uint64(0)
+		l.Points = append(l.Points, Point{float64(shards), microseconds(func() {
+			id++
+			now++
+			answerAll(e, now, e.Start(now, fanout.Request{
+				ID: id, Service: "v000", Text: "x", Caller: "c", Limit: 10, Deadline: now + 1000,
+			}))
+			e.Tick(now)
+		})})
+	}
+	return fit(l)
+}
+
+// answerAll lets every call of a query succeed.
+func answerAll(e *fanout.Engine, now clock.Milli, actions []fanout.Action) {
+	rows := []query.Row{{Key: "k", Score: 1, Text: "a row of text"}}
+	for _, a := range actions {
+		b, ok := a.(fanout.SendBatch)
+		if !ok {
+			continue
+		}
+		for _, c := range b.Calls {
+			e.Outcome(now, query.Outcome{Call: c.ID, Kind: query.OK, Rows: rows})
+		}
+	}
+}
+
+// Call measures an aggregator's decisions per leaf call, by the leafs it owns.
+func Call() Line {
+	l := Line{Name: "aggregator: decisions per leaf call", Unit: "us", Per: "leaf owned"}
+	for _, leafs := range []int{6, 24, 96} {
+		e, names, now := owner(leafs)
+		id := uint64(0)
+		l.Points = append(l.Points, Point{float64(leafs), microseconds(func() {
+			id++
+			*now++
+			for _, a := range e.Arrive(*now, gate.Call{
+				Key: gate.Key{Link: 1, ID: id}, Leaf: names[id%uint64(len(names))], Caller: "c",
+				Deadline: *now + 1000, Fingerprint: id,
+			}) {
+				if s, ok := a.(gate.Send); ok {
+					e.Done(*now, gate.Result{Leaf: s.Leaf, Conn: s.Conn, Key: s.Call.Key, Outcome: query.Outcome{Kind: query.OK}})
+				}
+			}
+		})})
+	}
+	return fit(l)
+}
+
+// LeafUpkeep measures what an owned leaf costs with no calls: ticks, probes and
+// claims of one second.
+func LeafUpkeep() Line {
+	l := Line{Name: "aggregator: upkeep per second", Unit: "us", Per: "leaf owned"}
+	for _, leafs := range []int{6, 24, 96} {
+		e, _, now := owner(leafs)
+		l.Points = append(l.Points, Point{float64(leafs), microseconds(func() {
+			for range 200 { // ticks of 5 ms
+				*now += 5
+				out, _ := e.Tick(*now)
+				probeAll(e, *now, out)
+			}
+		})})
+	}
+	return fit(l)
+}
+
+// owner builds an aggregator alone in its failure domain.
+func owner(leafs int) (*gate.Engine, []string, *clock.Milli) {
+	cfg, err := invent.Parse(1, inventory(leafs, 1))
+	if err != nil {
+		panic(err)
+	}
+	e := &gate.Engine{Self: "h0000", Domain: "d00"}
+	e.Configure(0, cfg, hostList(1, 1))
+	now := clock.Milli(0)
+	for now < 12000 {
+		now += 5
+		out, _ := e.Tick(now)
+		probeAll(e, now, out)
+	}
+	var names []string
+	for _, s := range cfg.Inventory.Servers {
+		for _, f := range s.Leafs {
+			names = append(names, f.Name)
+		}
+	}
+	return e, names, &now
+}
+
+func probeAll(e *gate.Engine, now clock.Milli, actions []gate.Action) {
+	for _, a := range actions {
+		if p, ok := a.(gate.Probe); ok {
+			e.Probed(now, p.Leaf, p.Conn, gate.Sign{Incarnation: 1, Holds: []invent.Pin{{Layout: 1, Version: 1}}}, nil)
+		}
+	}
+}
+
+// sizes are the numbers of leafs that whole-inventory costs are measured at.
+var sizes = []int{1050, 8400, 33000}
+
+// ParseAll measures reading the whole inventory, as a fresh host does.
+func ParseAll() Line {
+	l := Line{Name: "config: read whole, fresh host", Unit: "ms", Per: "leaf in the inventory"}
+	for _, n := range sizes {
+		parts := inventory(n, domains)
+		l.Points = append(l.Points, Point{float64(n), once(func() {
+			var p invent.Parser
+			if _, err := p.Parse(1, parts); err != nil {
+				panic(err)
+			}
+		})})
+	}
+	return fit(l)
+}
+
+// ParseChange measures reading a configuration of which one file has changed.
+func ParseChange() Line {
+	l := Line{Name: "config: read one change", Unit: "ms", Per: "leaf in the inventory"}
+	for _, n := range sizes {
+		parts := inventory(n, domains)
+		var p invent.Parser
+		if _, err := p.Parse(1, parts); err != nil {
+			panic(err)
+		}
+		version := uint64(1)
+		l.Points = append(l.Points, Point{float64(n), microseconds(func() {
+			version++
+			last := &parts[len(parts)-1]
+			last.Body = append(append([]byte(nil), last.Body...), '\n')
+			if _, err := p.Parse(version, parts); err != nil {
+				panic(err)
+			}
+		}) / 1000})
+	}
+	return fit(l)
+}
+
+// EntryChange measures putting a change in force in an entry, with 5,600 hosts.
+func EntryChange() Line {
+	l := Line{Name: "entry: put one change in force", Unit: "ms", Per: "leaf in the inventory"}
+	hosts := hostList(5600, domains)
+	for _, n := range sizes {
+		cfg := mustParse(n)
+		e := entry(cfg, hosts, fanout.Policy{})
+		l.Points = append(l.Points, Point{float64(n), microseconds(func() { e.Configure(cfg, hosts) }) / 1000})
+	}
+	return fit(l)
+}
+
+// GateChange measures the same in an aggregator.
+func GateChange() Line {
+	l := Line{Name: "aggregator: put one change in force", Unit: "ms", Per: "leaf in the inventory"}
+	hosts := hostList(5600, domains)
+	for _, n := range sizes {
+		cfg := mustParse(n)
+		e := &gate.Engine{Self: "h0000", Domain: "d00"}
+		l.Points = append(l.Points, Point{float64(n), microseconds(func() { e.Configure(1, cfg, hosts) }) / 1000})
+	}
+	return fit(l)
+}
+
+// EntryMemory measures an entry's state with 5,600 hosts.
+func EntryMemory() Line {
+	l := Line{Name: "entry: state of leafs and hosts", Unit: "MB", Per: "leaf in the inventory"}
+	for _, n := range sizes {
+		cfg := mustParse(n)
+		hosts := hostList(5600, domains)
+		l.Points = append(l.Points, Point{float64(n), megabytes(func() any { return entry(cfg, hosts, fanout.Policy{}) })})
+	}
+	return fit(l)
+}
+
+// ConfigMemory measures what any process keeps of the configuration: the files
+// and what they say.
+func ConfigMemory() Line {
+	l := Line{Name: "config: files and contents kept", Unit: "MB", Per: "leaf in the inventory"}
+	for _, n := range sizes {
+		l.Points = append(l.Points, Point{float64(n), megabytes(func() any {
+			parts := inventory(n, domains)
+			p := &invent.Parser{}
+			cfg, err := p.Parse(1, parts)
+			if err != nil {
+				panic(err)
+			}
+			return []any{parts, p, cfg}
+		})})
+	}
+	return fit(l)
+}
+
+// WireBytes measures what a query's calls take between hosts, both ways, by the
+// calls in one batch.
+func WireBytes() Line {
+	l := Line{Name: "links: bytes per batch, both ways", Unit: "bytes", Per: "leaf call"}
+	for _, calls := range []int{1, 12, 48} {
+		batch := &wire.Batch{
+			Service: "v000", Layout: 1, Snapshot: 7, Text: "a query of some words", Limit: 10, BudgetMs: 51,
+			Fingerprint: 1 << 60, Caller: "caller-17",
+		}
+		outcomes := &wire.Outcomes{}
+		for i := range calls {
+			batch.Calls = append(batch.Calls, &wire.Call{Id: uint64(1e6 + i), Leaf: fmt.Sprintf("s%05d-%d", i, 1), Shard: uint32(i)})
+			o := query.Outcome{
+				Call: uint64(1e6 + i), Kind: query.OK, Took: 9,
+				Feedback: &query.Feedback{Leaf: "s00001-1", Busy: 1, Limit: 2, Holds: []invent.Pin{{Layout: 1, Version: 7}}, Pace: 9},
+			}
+			for range 3 {
+				o.Rows = append(o.Rows, query.Row{Key: "garment-0001234", Score: 0.5, Text: "a row with some hundred bytes of text, as a search result has, more or less as long as this one here is"})
+			}
+			outcomes.Outcomes = append(outcomes.Outcomes, wire.OutcomeTo(o))
+		}
+		l.Points = append(l.Points, Point{float64(calls), float64(proto.Size(batch) + proto.Size(outcomes))})
+	}
+	return fit(l)
+}
+
+// Spread is what bringing changes to all hosts costs at one size.
+type Spread struct {
+	Hosts int
+	// Reads is the platform's reads a second.
+	Reads float64
+	// Bytes is what a host sends and receives a second, on average and at most.
+	Bytes, MostBytes float64
+	// InForce is the time until all hosts have a change, the longest of ten.
+	InForce clock.Milli
+}
+
+// Spreads measures the spread with changes at the rate to design for.
+func Spreads(hosts ...int) []Spread {
+	var out []Spread
+	for _, n := range hosts {
+		f := &fleet.Fleet{Hosts: n, Domains: domains, Parts: 1000, PartBytes: 4000, Seed: 1}
+		if n < 2*domains {
+			f.Domains = 3
+		}
+		f.Start()
+		f.Until(60*clock.Second, func() bool { return f.AllHave(1) })
+		f.Clock.Run(f.Clock.Now() + 5*clock.Second)
+		before := map[string]int{}
+		for _, h := range f.Nodes {
+			before[h.Name] = h.Bytes
+		}
+		s := Spread{Hosts: n}
+		reads, begin := f.Reads, f.Clock.Now()
+		for range 10 {
+			v := f.Publish()
+			s.InForce = max(s.InForce, f.Until(20*clock.Second, func() bool { return f.AllHave(v) }))
+			f.Clock.Run(f.Clock.Now() + 86400*clock.Second/13000 - 1000)
+		}
+		span := float64(f.Clock.Now()-begin) / 1000
+		s.Reads = float64(f.Reads-reads) / span
+		for _, h := range f.Nodes {
+			b := float64(h.Bytes-before[h.Name]) / span
+			s.Bytes += b / float64(n)
+			s.MostBytes = max(s.MostBytes, b)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// once times one run, in ms.
+func once(f func()) float64 { return microsecondsOnce(f) / 1000 }
--- /dev/null
+++ b/bench/slope/slope.go
@@ -0,0 +1,105 @@
+// Package slope measures what the product's parts cost per unit (a leaf, a
+// peer, a query, a change of configuration), each at three sizes or more, and
+// fits a line to it. docs/CAPACITY.md works from these lines.
+package slope
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"time"
+)
+
+// Point is one measurement: the cost at a size.
+type Point struct {
+	Size float64
+	Cost float64
+}
+
+// Line is a fitted cost: Fixed + PerUnit x size.
+type Line struct {
+	Name string
+	Unit string // of the cost
+	Per  string // what a size counts
+	// Points are the measurements.
+	Points  []Point
+	Fixed   float64
+	PerUnit float64
+	// Error is the largest relative deviation of a point from the line.
+	Error float64
+}
+
+// At is the cost at a size, by the line.
+func (l Line) At(size float64) float64 { return l.Fixed + l.PerUnit*size }
+
+// fit draws the line through the points by least squares, relative to their
+// size, so that small sizes count as much as large ones.
+func fit(l Line) Line {
+	var sw, swx, swy, swxx, swxy float64
+	for _, p := range l.Points {
+		w := 1 / math.Max(p.Cost*p.Cost, 1e-12)
+		sw += w
+		swx += w * p.Size
+		swy += w * p.Cost
+		swxx += w * p.Size * p.Size
+		swxy += w * p.Size * p.Cost
+	}
+	d := sw*swxx - swx*swx
+	if d != 0 {
+		l.PerUnit = (sw*swxy - swx*swy) / d
+		l.Fixed = (swy - l.PerUnit*swx) / sw
+	}
+	for _, p := range l.Points {
+		if p.Cost != 0 {
+			l.Error = math.Max(l.Error, math.Abs(l.At(p.Size)-p.Cost)/p.Cost)
+		}
+	}
+	return l
+}
+
+// String writes the line with its points.
+func (l Line) String() string {
+	text := fmt.Sprintf("%-34s %10.4g %s + %.4g per %s (error %.0f %%):", l.Name, l.Fixed, l.Unit, l.PerUnit, l.Per, 100*l.Error)
+	for _, p := range l.Points {
+		text += fmt.Sprintf(" %g->%.4g", p.Size, p.Cost)
+	}
+	return text
+}
+
+// microseconds times f, run until enough time has passed, best of three.
+func microseconds(f func()) float64 {
+	best := math.Inf(1)
+	for range 3 {
+		n, started := 0, time.Now()
+		for time.Since(started) < 100*time.Millisecond {
+			f()
+			n++
+		}
+		best = math.Min(best, float64(time.Since(started).Microseconds())/float64(n))
+	}
+	return best
+}
+
+// megabytes is what the heap grows by when f builds something.
+func megabytes(f func() any) float64 {
+	before := heap()
+	kept := f()
+	after := heap()
+	runtime.KeepAlive(kept)
+	return float64(int64(after)-int64(before)) / (1 << 20)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// microsecondsOnce times one run of something that takes long.
+func microsecondsOnce(f func()) float64 {
+	started := time.Now()
+	f()
+	return float64(time.Since(started).Microseconds())
+}
--- /dev/null
+++ b/bench/slope/world.go
@@ -0,0 +1,81 @@
+package slope
+
+import (
+	"fmt"
+	"strings"
+
+	"dandelionstile/share/fanout"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/query"
+)
+
+// Sizes of what is built to measure.
+const (
+	leafsPerServer  = 2
+	serversPerPart  = 16
+	replicas        = 3
+	shardsPerLayout = 210
+)
+
+// inventory builds the operators' files for a number of leafs in some failure
+// domains.
+func inventory(leafs, domains int) []invent.Part {
+	servers := leafs / leafsPerServer
+	services := max(1, leafs/(shardsPerLayout*replicas))
+	var base strings.Builder
+	base.WriteString("failure-domains:\n")
+	for d := range domains {
+		fmt.Fprintf(&base, "  - {name: d%02d, region: r%d}\n", d, d%5)
+	}
+	base.WriteString("services:\n")
+	for v := range services {
+		fmt.Fprintf(&base, "  - {name: v%03d, layouts: [{id: 1, shards: %d}]}\n", v, shardsPerLayout)
+	}
+	parts := []invent.Part{{Name: "base.yaml", Body: []byte(base.String())}}
+	var b strings.Builder
+	for s := range servers {
+		if s%serversPerPart == 0 {
+			b.WriteString("servers:\n")
+		}
+		fmt.Fprintf(&b, "  - name: s%05d\n    service: v%03d\n    failure-domain: d%02d\n    address: 127.0.0.1:%d\n    leafs:\n",
+			s, s%services, s/services%domains, 1024+s%60000)
+		for l := range leafsPerServer {
+			shard := (s/services*leafsPerServer + l) % shardsPerLayout
+			fmt.Fprintf(&b, "      - {name: s%05d-%d, slots: 2, connections: 25, holds: [{layout: 1, shard: %d}]}\n", s, l, shard)
+		}
+		if s%serversPerPart == serversPerPart-1 || s == servers-1 {
+			parts = append(parts, invent.Part{Name: fmt.Sprintf("p%04d.yaml", len(parts)), Body: []byte(b.String())})
+			b.Reset()
+		}
+	}
+	return parts
+}
+
+// hostList spreads hosts over failure domains.
+func hostList(n, domains int) []invent.Host {
+	hosts := make([]invent.Host, n)
+	for i := range hosts {
+		hosts[i] = invent.Host{
+			Name: fmt.Sprintf("h%04d", i), Domain: fmt.Sprintf("d%02d", i%domains),
+			Entry: "127.0.0.1:7001", Aggregator: "127.0.0.1:7002",
+		}
+	}
+	return hosts
+}
+
+// entry builds an entry that knows all leafs and has all hosts linked.
+func entry(cfg *invent.Config, hosts []invent.Host, policy fanout.Policy) *fanout.Engine {
+	e := &fanout.Engine{Self: hosts[0].Name, Domain: hosts[0].Domain, Policy: policy}
+	e.Configure(cfg, hosts)
+	for _, h := range hosts {
+		e.HostUp(h.Name)
+		e.HostRTT(h.Name, 1)
+	}
+	pin := invent.Pin{Layout: 1, Version: 1}
+	for _, s := range cfg.Inventory.Servers {
+		for _, l := range s.Leafs {
+			e.Feedback(query.Feedback{Leaf: l.Name, Limit: 2, Holds: []invent.Pin{pin}, Pace: 10})
+		}
+	}
+	return e
+}
--- a/share/conf/conf.go
+++ b/share/conf/conf.go
@@ -73,10 +73,12 @@
 	return f
 }
 
-// Source is a parsed file that can tell the line of a key.
+// Source is a file that can tell the line of a key. It is parsed for that only
+// when a fault is found: the parsed form takes some seventy times the memory of
+// the text.
 type Source struct {
 	File string
-	tree *ast.File
+	body []byte
 }
 
 // Line returns the line of the value at a path such as servers[3].slots, or of
@@ -97,14 +99,15 @@
 }
 
 func (s Source) find(key string) ast.Node {
-	if s.tree == nil {
+	tree, err := parser.ParseBytes(s.body, 0)
+	if err != nil {
 		return nil
 	}
 	path, err := yaml.PathString("$." + key)
 	if err != nil {
 		return nil
 	}
-	n, err := path.FilterFile(s.tree)
+	n, err := path.FilterFile(tree)
 	if err != nil {
 		return nil
 	}
@@ -123,12 +126,11 @@
 // tags. It returns the source for further checks, and Faults when anything is
 // wrong.
 func Decode(file string, body []byte, into any) (Source, error) {
-	src := Source{File: file}
+	src := Source{File: file, body: body}
 	tree, err := parser.ParseBytes(body, 0)
 	if err != nil {
 		return src, Faults{fromYAML(file, err)}
 	}
-	src.tree = tree
 	var faults Faults
 	for _, doc := range tree.Docs {
 		if doc.Body != nil {
--- a/share/fanout/engine.go
+++ b/share/fanout/engine.go
@@ -159,6 +159,7 @@
 	strikes  poison.Table
 	good     poison.Proven
 	lastCall uint64
+	owners   place.Table
 	updates  updates
 	now      clock.Milli // time of the event in hand
 }
@@ -241,17 +242,17 @@
 		services[s.Name] = v
 	}
 	leafs := map[string]*leaf{}
-	byDomain := map[string][]invent.Host{}
+	e.owners.Hosts(hosts)
 	for _, h := range hosts {
 		if e.hosts[h.Name] == nil {
 			e.hosts[h.Name] = &host{}
 		}
-		byDomain[h.Domain] = append(byDomain[h.Domain], h)
 	}
+	carry := cfg.CarryRules()
 	for _, s := range cfg.Inventory.Servers {
 		v := services[s.Service]
 		var owners []string
-		for _, h := range place.Owners(byDomain[s.Domain], s.Domain, s.Name, place.Candidates) {
+		for _, h := range e.owners.Owners(s.Domain, s.Name) {
 			owners = append(owners, h.Name)
 		}
 		for _, l := range s.Leafs {
@@ -260,7 +261,7 @@
 				f = &leaf{name: l.Name}
 			}
 			f.server, f.domain, f.service, f.owners = s.Name, s.Domain, v, owners
-			f.out = outOf(cfg, s)
+			f.out = outOf(cfg, carry, s)
 			leafs[l.Name] = f
 			for _, h := range l.Holds {
 				v.shards[h.Layout][h.Shard] = append(v.shards[h.Layout][h.Shard], f)
@@ -280,11 +281,11 @@
 // maxEarly bounds what is kept of leafs that no configuration names yet.
 const maxEarly = 100000
 
-func outOf(cfg *invent.Config, s invent.Server) query.Reason {
+func outOf(cfg *invent.Config, carry map[string]invent.Carry, s invent.Server) query.Reason {
 	if cfg.DomainOut(s.Domain) {
 		return query.ReasonDomainOut
 	}
-	if rule, ok := cfg.CarryFor(s.Name); ok && rule.Out {
+	if carry[s.Name].Out {
 		return query.ReasonServerOut
 	}
 	return query.ReasonNone
--- a/share/gate/flow.go
+++ b/share/gate/flow.go
@@ -398,6 +398,7 @@
 		e.Fence(now)
 	}
 	e.lastTick = now
+	e.average()
 	out = e.claim(now)
 	for _, f := range e.order {
 		out = append(out, e.watchdog(now, f)...)
--- a/share/gate/gate.go
+++ b/share/gate/gate.go
@@ -187,6 +187,8 @@
 	proven   poison.Proven
 	canaries map[uint64]Key
 	leases   leases
+	means    map[string]float64 // usual time by service
+	owners   place.Table
 	lastConn ConnID
 	lastTick clock.Milli
 	born     clock.Milli
@@ -245,12 +247,14 @@
 func (e *Engine) Configure(now clock.Milli, cfg *invent.Config, hosts []invent.Host) []Action {
 	e.init(now)
 	var out []Action
+	e.owners.Hosts(hosts)
+	carry := cfg.CarryRules()
 	next := map[string]*leaf{}
 	for _, s := range cfg.Inventory.Servers {
 		if s.Domain != e.Domain {
 			continue
 		}
-		owners := place.Owners(hosts, s.Domain, s.Name, place.Candidates)
+		owners := e.owners.Owners(s.Domain, s.Name)
 		rank := rankOf(owners, e.Self)
 		e.leases.place(now, s.Name, other(owners, e.Self))
 		if rank < 0 && !e.serves(s) {
@@ -269,7 +273,7 @@
 			if cfg.DomainOut(s.Domain) {
 				f.out = query.ReasonDomainOut
 			}
-			if rule, ok := cfg.CarryFor(s.Name); ok {
+			if rule, ok := carry[s.Name]; ok {
 				if rule.Slots > 0 {
 					f.cap = min(f.cap, rule.Slots)
 				}
@@ -305,6 +309,7 @@
 		e.leafs = map[string]*leaf{}
 		e.calls = map[Key]*call{}
 		e.canaries = map[uint64]Key{}
+		e.means = map[string]float64{}
 		e.lastTick = now
 		e.born = now
 	}
--- a/share/gate/ramp.go
+++ b/share/gate/ramp.go
@@ -113,18 +113,31 @@
 	return true
 }
 
-// usualOf is the mean usual time of a service's other leafs here; the leaf's
-// own when it has no neighbours.
+// usualOf is the mean usual time of a service's leafs here; the leaf's own when
+// nothing else is known.
 func (e *Engine) usualOf(f *leaf) float64 {
-	sum, n := 0.0, 0
-	for _, o := range e.order {
-		if o != f && o.service == f.service && o.health.usual > 0 {
-			sum += o.health.usual
-			n++
+	if m, ok := e.means[f.service]; ok {
+		return m
+	}
+	return f.health.usual
+}
+
+// average works out the mean usual times, once per tick: each published change
+// of a leaf needs its service's.
+func (e *Engine) average() {
+	type sum struct {
+		total float64
+		n     int
+	}
+	sums := map[string]sum{}
+	for _, f := range e.order {
+		if f.health.usual > 0 {
+			s := sums[f.service]
+			sums[f.service] = sum{s.total + f.health.usual, s.n + 1}
 		}
 	}
-	if n == 0 {
-		return f.health.usual
+	clear(e.means)
+	for name, s := range sums {
+		e.means[name] = max(1, s.total/float64(s.n))
 	}
-	return max(1, sum/float64(n))
 }
--- a/share/invent/invent.go
+++ b/share/invent/invent.go
@@ -144,14 +144,13 @@
 	return false
 }
 
-// CarryFor returns the rule for a backend server.
-func (c *Config) CarryFor(server string) (Carry, bool) {
+// CarryRules returns the carry rules by backend server.
+func (c *Config) CarryRules() map[string]Carry {
+	rules := make(map[string]Carry, len(c.Rules.Carry))
 	for _, r := range c.Rules.Carry {
-		if r.Server == server {
-			return r, true
-		}
+		rules[r.Server] = r
 	}
-	return Carry{}, false
+	return rules
 }
 
 // MayRepeat tells whether an operation is idempotent, that is, not listed under
--- a/share/invent/parse.go
+++ b/share/invent/parse.go
@@ -97,10 +97,38 @@
 // Parse builds a configuration from the operators' files. On any fault it
 // returns conf.Faults that list all of them, and no configuration.
 func Parse(version uint64, parts []Part) (*Config, error) {
-	b := builder{config: &Config{Version: version}, seen: map[string]string{}}
-	for _, p := range parts {
-		b.add(p)
+	var p Parser
+	return p.Parse(version, parts)
+}
+
+// Parser reads configurations that follow each other. It keeps what it read of
+// each file, so that a change costs the reading of the files that changed: at
+// 33,000 leafs, reading all of them takes seconds. The zero value is ready.
+type Parser struct {
+	read map[string]readPart // by name and hash
+}
+
+// readPart is a file as it was read.
+type readPart struct {
+	file   filePart
+	source conf.Source
+	faults conf.Faults
+}
+
+// Parse is as the function of that name.
+func (p *Parser) Parse(version uint64, parts []Part) (*Config, error) {
+	b := builder{config: &Config{Version: version}, seen: map[named]place{}}
+	next := make(map[string]readPart, len(parts))
+	for _, part := range parts {
+		key := part.Name + " " + part.Hash()
+		r, ok := p.read[key]
+		if !ok {
+			r = readOne(part)
+		}
+		next[key] = r
+		b.add(r)
 	}
+	p.read = next
 	b.checkReferences()
 	if err := b.faults.Err(); err != nil {
 		return nil, err
@@ -108,37 +136,61 @@
 	return b.config, nil
 }
 
+func readOne(p Part) readPart {
+	if len(p.Body) > MaxPart {
+		return readPart{faults: conf.Faults{{
+			File: p.Name, Line: 1, Problem: fmt.Sprintf("%d bytes, over the limit of %d", len(p.Body), MaxPart),
+			Hint: "split the file",
+		}}}
+	}
+	var r readPart
+	var err error
+	r.source, err = conf.Decode(p.Name, p.Body, &r.file)
+	if err != nil && !errors.As(err, &r.faults) {
+		r.faults = conf.Faults{{File: p.Name, Line: 1, Problem: err.Error()}}
+	}
+	return r
+}
+
+// named is a thing that must be named once; place is where it was.
+type named struct{ kind, name string }
+
+type place struct {
+	src conf.Source
+	key string
+}
+
 // builder gathers parts and remembers where each thing came from, so that
 // faults found across files still name a line.
 type builder struct {
-	config *Config
-	faults conf.Faults
-	seen   map[string]string
-	checks []func()
+	config   *Config
+	services map[string]Service
+	faults   conf.Faults
+	seen     map[named]place
+	servers  []serverAt
+	expected []expected
 }
 
-func (b *builder) add(p Part) {
-	if len(p.Body) > MaxPart {
-		b.faults = append(b.faults, conf.Fault{
-			File: p.Name, Line: 1, Problem: fmt.Sprintf("%d bytes, over the limit of %d", len(p.Body), MaxPart),
-			Hint: "split the file",
-		})
-		return
-	}
-	var f filePart
-	src, err := conf.Decode(p.Name, p.Body, &f)
-	if err != nil {
-		var faults conf.Faults
-		if !errors.As(err, &faults) {
-			faults = conf.Faults{{File: p.Name, Line: 1, Problem: err.Error()}}
-		}
-		b.faults = append(b.faults, faults...)
+// serverAt and expected are checked once all parts are read.
+type serverAt struct {
+	server Server
+	at     place
+}
+
+type expected struct {
+	named
+	at place
+}
+
+func (b *builder) add(r readPart) {
+	if len(r.faults) > 0 {
+		b.faults = append(b.faults, r.faults...)
 		return
 	}
-	b.addDomains(src, f)
-	b.addServices(src, f)
-	b.addServers(src, f)
-	b.addRules(src, f)
+	b.addDomains(r.source, r.file)
+	b.addServices(r.source, r.file)
+	b.addServers(r.source, r.file)
+	b.addRules(r.source, r.file)
 }
 
 func (b *builder) fault(src conf.Source, key, problem, hint string) {
@@ -147,17 +199,17 @@
 
 // unique reports a name that was given before.
 func (b *builder) unique(src conf.Source, kind, name, key string) {
-	at := fmt.Sprintf("%s:%d", src.File, src.Line(key))
-	id := kind + " " + name
+	id := named{kind, name}
 	if first, ok := b.seen[id]; ok {
-		b.fault(src, key, fmt.Sprintf("%s is given twice", id), "first at "+first)
+		b.fault(src, key, fmt.Sprintf("%s %s is given twice", kind, name),
+			fmt.Sprintf("first at %s:%d", first.src.File, first.src.Line(first.key)))
 		return
 	}
-	b.seen[id] = at
+	b.seen[id] = place{src, key}
 }
 
 func (b *builder) known(kind, name string) bool {
-	_, ok := b.seen[kind+" "+name]
+	_, ok := b.seen[named{kind, name}]
 	return ok
 }
 
@@ -210,7 +262,7 @@
 			server.Leafs = append(server.Leafs, leaf)
 		}
 		b.config.Inventory.Servers = append(b.config.Inventory.Servers, server)
-		b.checks = append(b.checks, func() { b.checkServer(src, key, server) })
+		b.servers = append(b.servers, serverAt{server, place{src, key}})
 	}
 }
 
@@ -218,7 +270,7 @@
 	if !b.known("failure domain", s.Domain) {
 		b.fault(src, key+".failure-domain", fmt.Sprintf("failure domain %q is not in the inventory", s.Domain), "")
 	}
-	service, ok := b.config.Service(s.Service)
+	service, ok := b.services[s.Service]
 	if !ok {
 		b.fault(src, key+".service", fmt.Sprintf("service %q is not in the inventory", s.Service), "")
 		return
@@ -260,16 +312,21 @@
 
 // expect checks, once all parts are read, that a rule names something known.
 func (b *builder) expect(src conf.Source, key, kind, name string) {
-	b.checks = append(b.checks, func() {
-		if !b.known(kind, name) {
-			b.fault(src, key, fmt.Sprintf("%s %q is not in the inventory", kind, name), "")
-		}
-	})
+	b.expected = append(b.expected, expected{named{kind, name}, place{src, key}})
 }
 
 func (b *builder) checkReferences() {
-	for _, check := range b.checks {
-		check()
+	b.services = make(map[string]Service, len(b.config.Inventory.Services))
+	for _, s := range b.config.Inventory.Services {
+		b.services[s.Name] = s
+	}
+	for _, s := range b.servers {
+		b.checkServer(s.at.src, s.at.key, s.server)
+	}
+	for _, e := range b.expected {
+		if !b.known(e.kind, e.name) {
+			b.fault(e.at.src, e.at.key, fmt.Sprintf("%s %q is not in the inventory", e.kind, e.name), "")
+		}
 	}
 }
 
--- a/share/mesh/mesh.go
+++ b/share/mesh/mesh.go
@@ -43,9 +43,11 @@
 	// sendQueue is how many messages wait per stream before Send says ErrBusy.
 	sendQueue   = 1024
 	dialTimeout = 2 * time.Second
-	// pingEvery is the pause between pings; one that takes longer than
-	// pingTimeout closes the link.
-	pingEvery    = time.Second
+	// pingEvery is the pause between pings on a link that carries nothing, and
+	// pingBusy on one that does; one that takes longer than pingTimeout closes
+	// the link. The side that dialed pings.
+	pingEvery    = 2 * time.Second
+	pingBusy     = 10 * time.Second
 	pingTimeout  = 2 * time.Second
 	helloTimeout = 3 * time.Second
 	redialLeast  = 100 * time.Millisecond
@@ -80,6 +82,7 @@
 	once    sync.Once
 	err     error
 	wait    sync.WaitGroup
+	frames  atomic.Uint64 // received
 }
 
 var lastLink atomic.Uint64
@@ -301,7 +304,9 @@
 		l.wait.Go(func() { l.write(s, l.queues[i]) })
 		l.wait.Go(func() { l.read(s, m.Handler) })
 	}
-	l.wait.Go(func() { l.ping(m.Handler) })
+	if dialed != "" {
+		l.wait.Go(func() { l.ping(m.Handler) })
+	}
 	l.wait.Wait()
 	m.Handler.Down(l, l.err)
 }
@@ -420,6 +425,7 @@
 			l.Fail(errors.Wrap(ErrProtocol, "empty message"))
 			return
 		}
+		l.frames.Add(1)
 		h.Frame(l, m)
 	}
 }
@@ -439,10 +445,24 @@
 			return
 		}
 		h.RTT(l, rtt)
+		if !l.idle(tick.C) {
+			return
+		}
+	}
+}
+
+// idle returns when it is time for another ping, or false when the link is
+// closed.
+func (l *Link) idle(tick <-chan time.Time) bool {
+	for pinged := time.Now(); ; {
+		before := l.frames.Load()
 		select {
 		case <-l.done:
-			return
-		case <-tick.C:
+			return false
+		case <-tick:
+		}
+		if l.frames.Load() == before || time.Since(pinged) >= pingBusy {
+			return true
 		}
 	}
 }
--- a/share/node/codec.go
+++ b/share/node/codec.go
@@ -1,9 +1,15 @@
 package node
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"sort"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
 	"dandelionstile/share/clock"
 	"dandelionstile/share/poison"
 	"dandelionstile/share/spread"
@@ -41,22 +47,58 @@
 	return &wire.Envelope{Body: &wire.Envelope_Pull{Pull: &wire.Pull{Have: stampTo(a.Key, a.Have)}}}
 }
 
+// deltaTo maps a delta. Its items are compressed: the operators' files are text
+// that repeats itself, and each change goes to every host.
 func deltaTo(d spread.Delta) *wire.Envelope {
 	w := &wire.Delta{Key: d.Key, From: stampTo("", d.From), To: stampTo("", d.To), Removed: d.Removed}
+	items := &wire.Items{}
 	for _, it := range d.Changed {
-		w.Changed = append(w.Changed, &wire.Item{Name: it.Name, Body: it.Body})
+		items.Items = append(items.Items, &wire.Item{Name: it.Name, Body: it.Body})
 	}
+	w.Packed = Pack(items)
 	return &wire.Envelope{Body: &wire.Envelope_Delta{Delta: w}}
 }
 
-func deltaFrom(w *wire.Delta) spread.Delta {
+// Pack marshals and compresses items.
+func Pack(items *wire.Items) []byte {
+	plain, err := proto.Marshal(items)
+	if err != nil {
+		return nil // items of bytes and names always marshal
+	}
+	var b bytes.Buffer
+	z, err := flate.NewWriter(&b, flate.DefaultCompression)
+	if err != nil {
+		return nil // the level is a valid one
+	}
+	_, _ = z.Write(plain) // writing to memory does not fail
+	_ = z.Close()
+	return b.Bytes()
+}
+
+// maxUnpacked bounds what a peer's delta may expand to, in bytes.
+const maxUnpacked = 64 << 20
+
+func unpack(packed []byte) (*wire.Items, error) {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked))
+	if err != nil {
+		return nil, errors.Wrap(err, "expand delta")
+	}
+	items := &wire.Items{}
+	return items, errors.Wrap(proto.Unmarshal(plain, items), "read delta")
+}
+
+func deltaFrom(w *wire.Delta) (spread.Delta, error) {
 	d := spread.Delta{
 		Key: w.GetKey(), From: stampFrom(w.GetFrom()), To: stampFrom(w.GetTo()), Removed: w.GetRemoved(),
 	}
-	for _, it := range w.GetChanged() {
+	items, err := unpack(w.GetPacked())
+	if err != nil {
+		return d, err
+	}
+	for _, it := range items.GetItems() {
 		d.Changed = append(d.Changed, spread.Item{Name: it.GetName(), Body: it.GetBody()})
 	}
-	return d
+	return d, nil
 }
 
 func strikeTo(id uint64, s poison.Strike) *wire.Envelope {
--- a/share/node/node.go
+++ b/share/node/node.go
@@ -30,10 +30,13 @@
 
 // Timing of heartbeats.
 const (
-	beatEvery = clock.Second
-	// peerQuiet is how long a peer that sends no heartbeat counts as up. Pings
-	// find dead connections; this finds a process whose control loop stands.
-	peerQuiet = 3 * clock.Second
+	beatEvery = 2 * clock.Second
+	// beatRarely is the pause on links between an entry and the aggregators of
+	// other hosts. There may be many, and traffic shows whether they live.
+	beatRarely = 10 * clock.Second
+	// peerQuiet is how many heartbeats a peer may miss. Pings find dead
+	// connections; this finds a process whose control loop stands.
+	peerQuiet = 3
 )
 
 // Message is something for the control loop; one of the types below.
@@ -111,12 +114,13 @@
 	platform platform
 	peers    map[uint64]*peer
 	cfg      *invent.Config
+	parser   invent.Parser
+	checked  *invent.Config
 	hosts    []invent.Host
 	dialed   map[string]bool
 	leaving  bool
 	sequence uint64
 	confirm  uint64 // beat that a confirmation has to echo; 0 when none is due
-	nextBeat clock.Milli
 	strikes  map[uint64]*sharing
 	lastID   uint64
 	reads    sync.WaitGroup
@@ -132,6 +136,8 @@
 	digest  uint64
 	echoed  uint64
 	leaving bool
+	// nextBeat is when the next heartbeat is due.
+	nextBeat clock.Milli
 }
 
 // sharing is a strike on its way to the peers.
@@ -190,7 +196,8 @@
 // check decides whether a version is valid. It looks at the set alone.
 func (n *Node) check(key string, s *spread.Set) error {
 	if key == KeyConfig {
-		_, err := ParseConfig(s)
+		var err error
+		n.checked, err = n.parser.Parse(s.Version, configParts(s))
 		return err
 	}
 	_, err := Hosts(s)
@@ -252,7 +259,12 @@
 	case *wire.Envelope_Pull:
 		n.act(now, n.engine.Pull(now, p.name, b.Pull.GetHave().GetKey(), stampFrom(b.Pull.GetHave())))
 	case *wire.Envelope_Delta:
-		n.act(now, n.engine.Delta(now, p.name, deltaFrom(b.Delta)))
+		d, err := deltaFrom(b.Delta)
+		if err != nil {
+			n.Log.Warn().Err(err).Str("peer", p.name).Msg("delta cannot be read")
+			return
+		}
+		n.act(now, n.engine.Delta(now, p.name, d))
 	case *wire.Envelope_Strike:
 		n.struck(now, p, b.Strike)
 	case *wire.Envelope_StrikeAck:
@@ -327,19 +339,29 @@
 
 func (n *Node) tick(now clock.Milli) {
 	n.act(now, n.engine.Tick(now))
-	if now < n.nextBeat {
-		return
-	}
-	n.nextBeat = now + beatEvery
 	for _, p := range n.sorted() {
+		if now < p.nextBeat {
+			continue
+		}
+		every := n.pace(p)
+		p.nextBeat = now + every
 		n.beat(now, p, false)
-		if now-p.heard > peerQuiet {
+		if now-p.heard > peerQuiet*every {
 			n.Log.Warn().Str("peer", p.name).Msg("peer sends no heartbeats")
 			p.link.Fail(mesh.ErrSilent)
 		}
 	}
 }
 
+// pace is the pause between heartbeats on a link.
+func (n *Node) pace(p *peer) clock.Milli {
+	same := p.link.Peer.GetHost() == n.Settings.Host.Name
+	if same || (p.link.Peer.GetProgram() == Aggregator && n.Program == Aggregator) {
+		return beatEvery
+	}
+	return beatRarely
+}
+
 func (n *Node) act(now clock.Milli, actions []spread.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -375,12 +397,8 @@
 func (n *Node) adopt(now clock.Milli, a spread.Adopt) {
 	n.Log.Info().Str("key", a.Key).Uint64("version", a.Stamp.Version).Msg("version in force")
 	if a.Key == KeyConfig {
-		cfg, err := ParseConfig(a.Set)
-		if err != nil {
-			return // checked before it was adopted
-		}
-		n.cfg = cfg
-		n.engine.Want(wanted(cfg))
+		n.cfg = n.checked // the check before this adoption read it
+		n.engine.Want(wanted(n.cfg))
 	} else {
 		n.hosts = n.allHosts()
 		n.engine.Rank = n.rank()
--- a/share/node/platform.go
+++ b/share/node/platform.go
@@ -118,13 +118,13 @@
 	return spread.NewSet(version, items)
 }
 
-// ParseConfig reads a set back into a configuration.
-func ParseConfig(s *spread.Set) (*invent.Config, error) {
+// configParts reads a set back into the operators' files.
+func configParts(s *spread.Set) []invent.Part {
 	parts := make([]invent.Part, 0, len(s.Items))
 	for _, it := range s.Sorted() {
 		parts = append(parts, invent.Part(it))
 	}
-	return invent.Parse(s.Version, parts)
+	return parts
 }
 
 func (p *platform) part(hash string) ([]byte, error) {
--- a/share/place/place.go
+++ b/share/place/place.go
@@ -4,6 +4,7 @@
 package place
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,35 +21,89 @@
 // been cut off still owns what it can reach. Leaving hosts come after all
 // others, so they hand over before they go.
 func Owners(hosts []invent.Host, domain, server string, n int) []invent.Host {
-	type ranked struct {
-		host   invent.Host
-		weight uint64
-	}
-	var rank []ranked
+	best := make([]ranked, 0, n+1)
 	for _, h := range hosts {
-		if h.Domain != domain {
-			continue
+		if h.Domain == domain {
+			best = insert(best, ranked{host: h, weight: weight(h.Name, server)}, n)
 		}
-		rank = append(rank, ranked{host: h, weight: weight(h.Name, server)})
 	}
-	sort.Slice(rank, func(i, j int) bool {
-		a, b := rank[i], rank[j]
-		if a.host.Leaving != b.host.Leaving {
-			return b.host.Leaving
-		}
-		if a.weight != b.weight {
-			return a.weight > b.weight
-		}
-		return a.host.Name < b.host.Name
-	})
-	n = min(n, len(rank))
-	owners := make([]invent.Host, n)
+	owners := make([]invent.Host, len(best))
 	for i := range owners {
-		owners[i] = rank[i].host
+		owners[i] = best[i].host
 	}
 	return owners
 }
 
+type ranked struct {
+	host   invent.Host
+	weight uint64
+}
+
+// insert keeps the best n in order; n is small where it matters.
+func insert(best []ranked, r ranked, n int) []ranked {
+	i := len(best)
+	for i > 0 && r.before(best[i-1]) {
+		i--
+	}
+	if i >= n {
+		return best
+	}
+	best = append(best, ranked{})
+	copy(best[i+1:], best[i:])
+	best[i] = r
+	return best[:min(len(best), n)]
+}
+
+func (r ranked) before(o ranked) bool {
+	if r.host.Leaving != o.host.Leaving {
+		return o.host.Leaving
+	}
+	if r.weight != o.weight {
+		return r.weight > o.weight
+	}
+	return r.host.Name < o.host.Name
+}
+
+// Table remembers the owners of servers for as long as the hosts of their
+// failure domain stay the same. With thousands of servers and hosts, ranking
+// them all anew for each change of configuration would take seconds. The zero
+// value is ready.
+type Table struct {
+	hosts  map[string][]invent.Host
+	owners map[string]map[string][]invent.Host // by domain, then server
+}
+
+// Hosts takes a new host list.
+func (t *Table) Hosts(hosts []invent.Host) {
+	byDomain := map[string][]invent.Host{}
+	for _, h := range hosts {
+		byDomain[h.Domain] = append(byDomain[h.Domain], h)
+	}
+	kept := map[string]map[string][]invent.Host{}
+	for d, list := range byDomain {
+		if slices.Equal(list, t.hosts[d]) && t.owners[d] != nil {
+			kept[d] = t.owners[d]
+		} else {
+			kept[d] = map[string][]invent.Host{}
+		}
+	}
+	t.hosts, t.owners = byDomain, kept
+}
+
+// Owners returns the candidates for a server.
+func (t *Table) Owners(domain, server string) []invent.Host {
+	known := t.owners[domain]
+	if known == nil {
+		return nil // no host in the domain
+	}
+	o, ok := known[server]
+	if !ok {
+		o = Owners(t.hosts[domain], domain, server, Candidates)
+		known[server] = o
+	}
+	return o
+}
+
 // weight is the rendezvous weight of a host for a key.
 func weight(host, key string) uint64 {
 	var d xxhash.Digest
@@ -117,17 +172,13 @@
 }
 
 func (n Network) pick(picked map[string]string, hosts []invent.Host) {
-	type ranked struct {
-		host   invent.Host
-		weight uint64
-	}
 	var near, far []ranked
 	for _, h := range hosts {
 		if h.Name == n.Self {
 			picked[h.Name] = h.Aggregator // the entry's own host
 			continue
 		}
-		r := ranked{h, weight(h.Name, "link "+n.Self)}
+		r := ranked{host: h, weight: weight(h.Name, "link "+n.Self)}
 		if h.Domain == n.Domain {
 			near = append(near, r)
 		} else {
@@ -147,17 +198,13 @@
 // partners adds the other candidates of the servers that this host may serve:
 // the two have leases to exchange.
 func (n Network) partners(picked map[string]string, cfg *invent.Config, hosts []invent.Host) {
-	var local []invent.Host
-	for _, h := range hosts {
-		if h.Domain == n.Domain {
-			local = append(local, h)
-		}
-	}
+	var t Table
+	t.Hosts(hosts)
 	for _, s := range cfg.Inventory.Servers {
 		if s.Domain != n.Domain {
 			continue
 		}
-		owners := Owners(local, s.Domain, s.Name, Candidates)
+		owners := t.Owners(s.Domain, s.Name)
 		mine := false
 		for _, h := range owners {
 			mine = mine || h.Name == n.Self
--- a/share/spread/engine.go
+++ b/share/spread/engine.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,6 +26,9 @@
 	// retryBase and retryMax bound the pause after failed reads.
 	retryBase = clock.Second
 	retryMax  = 10 * clock.Second
+	// serveMost is how many peers are sent a version per serveSpan.
+	serveMost             = 4
+	serveSpan clock.Milli = 400
 	// history is how many versions are kept to make deltas from.
 	history = 16
 )
@@ -132,6 +136,10 @@
 	// pull in flight
 	asked   string
 	askedAt clock.Milli
+	tries   int
+	// how often the version in force was served since servedAt
+	served   int
+	servedAt clock.Milli
 }
 
 type peer struct {
@@ -286,36 +294,51 @@
 	return out
 }
 
-// pull asks one peer at a time for a newer version of a key.
+// pull asks one peer at a time for a newer version of a key. A peer that does
+// not answer, because it is frozen or has served enough others, is followed by
+// the next.
 func (e *Engine) pull(now clock.Milli, key string, v *versions) []Action {
 	if v.asked != "" && now-v.askedAt < pullTimeout {
 		return nil
 	}
-	best, from := v.stamp, ""
+	best := v.stamp
 	if best.Less(v.refused) {
 		best = v.refused
 	}
-	names := make([]string, 0, len(e.peers))
-	for n := range e.peers {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	for _, n := range names {
-		s := e.peers[n].stamps[key]
-		// A peer that did not answer last time is asked again only when no
-		// other offers as much: a frozen peer must not hold the version back.
-		if best.Less(s) || (from != "" && from == v.asked && s == best) {
-			best, from = s, n
+	var offers []string
+	for name, p := range e.peers {
+		s := p.stamps[key]
+		switch {
+		case best.Less(s):
+			best, offers = s, []string{name}
+		case s == best && len(offers) > 0:
+			offers = append(offers, name)
 		}
 	}
-	if from == "" {
-		v.asked = ""
+	if len(offers) == 0 {
+		v.asked, v.tries = "", 0
 		return nil
 	}
+	from := inTurn(offers, key, best)[v.tries%len(offers)]
+	v.tries++
 	v.asked, v.askedAt = from, now
 	return []Action{SendPull{Peer: from, Key: key, Have: v.stamp}}
 }
 
+// inTurn orders peers differently for each version, so that no peer has to
+// serve all others all the time.
+func inTurn(names []string, key string, s Stamp) []string {
+	salt := key + strconv.FormatUint(s.Version, 10)
+	sort.Slice(names, func(i, j int) bool {
+		a, b := xxhash.Sum64String(names[i]+salt), xxhash.Sum64String(names[j]+salt)
+		if a != b {
+			return a < b
+		}
+		return names[i] < names[j]
+	})
+	return names
+}
+
 // Pull answers a peer that asks for what is newer than a version it has.
 func (e *Engine) Pull(now clock.Milli, from, key string, have Stamp) []Action {
 	e.init(now)
@@ -329,6 +352,15 @@
 			base = old
 		}
 	}
+	if now-v.servedAt >= serveSpan {
+		v.served, v.servedAt = 0, now
+	}
+	if v.served >= serveMost {
+		// Others have it by now, too. A host with many links would otherwise
+		// send the version to all of them.
+		return nil
+	}
+	v.served++
 	return []Action{SendDelta{Peer: from, Delta: v.now.diff(key, base)}}
 }
 
@@ -372,7 +404,7 @@
 			v.past = v.past[1:]
 		}
 	}
-	v.now, v.stamp = s, stamp
+	v.now, v.stamp, v.tries = s, stamp, 0
 	e.digest = e.sum()
 	out := []Action{Adopt{Key: key, Set: s, Stamp: stamp}}
 	names := make([]string, 0, len(e.peers))
