stile, bench: the operators' command line, and bounds on figures

stile reads files and asks the programs; it writes nothing. bench checks the deterministic figures against bench/bounds.yaml.

Cause: with two canaries at once, the second was refused because the first one's death was already known; the query was answered as refused with one strike, and a second later its resend sent two canaries again. A program that stops right after its start hung for ever: nbio's event loops clear the stop flag when they begin. TestExitCodes hung for ten minutes before; the engine now runs 100 ms at least.

--- /dev/null
+++ b/bench/cmds/capacity.go
@@ -0,0 +1,36 @@
+package cmds
+
+import (
+	"fmt"
+
+	"dandelionstile/bench/slope"
+)
+
+func init() { register("capacity", &capacity{}) }
+
+// capacity measures the slopes of docs/CAPACITY.md.
+type capacity struct {
+	Hosts []int `arg:"--hosts" help:"fleet sizes to spread over; 7 70 700 by default"`
+}
+
+// Help describes the command.
+func (*capacity) Help() string { return "measure the slopes that docs/CAPACITY.md works from" }
+
+// Run prints them.
+func (c *capacity) Run() error {
+	for _, measure := range []func() slope.Line{
+		slope.Query, slope.Call, slope.LeafUpkeep, slope.WireBytes, slope.WireTime, slope.LinkTime, slope.LeafTime,
+		slope.ParseAll, slope.ParseChange, slope.EntryChange, slope.GateChange,
+		slope.EntryMemory, slope.ConfigMemory, slope.Packing,
+	} {
+		fmt.Println(measure())
+	}
+	if len(c.Hosts) == 0 {
+		c.Hosts = []int{7, 70, 700}
+	}
+	for _, s := range slope.Spreads(c.Hosts...) {
+		fmt.Printf("spread over %4d hosts: %5.1f platform reads/s, %5.0f bytes/s a host on average, %5.0f at most, in force everywhere after %d ms\n",
+			s.Hosts, s.Reads, s.Bytes, s.MostBytes, s.InForce)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/cmds/check.go
@@ -0,0 +1,137 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/bench/deploy"
+	"dandelionstile/bench/scene"
+	"dandelionstile/share/conf"
+)
+
+func init() { register("check", &check{}) }
+
+// check holds the deterministic figures against their bounds.
+type check struct {
+	Bounds string `arg:"--bounds" default:"bench/bounds.yaml" help:"file of bounds"`
+	Out    string `arg:"--out" placeholder:"FILE" help:"write the results to a file"`
+}
+
+// fileBound is one bound. OverBaseline bounds the figure's ratio to the
+// baseline's in the same run.
+type fileBound struct {
+	Scenario     string   `yaml:"scenario" validate:"required"`
+	Deployment   string   `yaml:"deployment" validate:"omitempty,oneof=himal kumomaru"`
+	Figure       string   `yaml:"figure" validate:"required"`
+	Most         *float64 `yaml:"most"`
+	Least        *float64 `yaml:"least"`
+	OverBaseline *float64 `yaml:"most-over-baseline"`
+}
+
+type fileBounds struct {
+	Seed   uint64      `yaml:"seed" validate:"required"`
+	Bounds []fileBound `yaml:"bounds" validate:"required,min=1,dive"`
+}
+
+// Help describes the command.
+func (*check) Help() string { return "run the scenarios that have bounds and check them" }
+
+// Run runs them and lists every figure that is out of bounds.
+func (c *check) Run() error {
+	body, err := os.ReadFile(c.Bounds)
+	if err != nil {
+		return errors.Wrap(err, "read bounds")
+	}
+	var f fileBounds
+	if _, err := conf.Decode(c.Bounds, body, &f); err != nil {
+		return err
+	}
+	results, err := f.run()
+	if err != nil {
+		return err
+	}
+	if c.Out != "" {
+		if err := write(c.Out, results); err != nil {
+			return err
+		}
+	}
+	bad := 0
+	for _, b := range f.Bounds {
+		bad += b.check(results)
+	}
+	for _, r := range results {
+		for _, fault := range r.Faults {
+			bad++
+			fmt.Printf("FAULT %s %s %s: %s\n", r.Scenario, r.Deployment, r.Policy, fault)
+		}
+	}
+	fmt.Printf("%d bounds, %d runs, %d out of bounds\n", len(f.Bounds), len(results), bad)
+	if bad > 0 {
+		return ErrBound
+	}
+	return nil
+}
+
+// run makes each run that a bound needs, once.
+func (f fileBounds) run() ([]scene.Result, error) {
+	type key struct{ scenario, deployment, policy string }
+	seen := map[key]bool{}
+	var tasks []task
+	for _, b := range f.Bounds {
+		s, ok := scene.ByName(b.Scenario)
+		if !ok {
+			return nil, errors.Newf("bounds name no scenario %q", b.Scenario)
+		}
+		for _, d := range []deploy.Deployment{deploy.Himal(), deploy.Kumomaru()} {
+			for _, p := range scene.Policies() {
+				k := key{b.Scenario, d.Name, p.Name}
+				wanted := p.Name == "product" || b.OverBaseline != nil
+				if wanted && !seen[k] && (b.Deployment == "" || b.Deployment == d.Name) {
+					seen[k] = true
+					tasks = append(tasks, task{s, d, p, f.Seed})
+				}
+			}
+		}
+	}
+	return execute(tasks), nil
+}
+
+func (b fileBound) check(results []scene.Result) int {
+	bad := 0
+	for _, r := range results {
+		if r.Scenario != b.Scenario || r.Policy != "product" || (b.Deployment != "" && b.Deployment != r.Deployment) {
+			continue
+		}
+		v, ok := r.Get(b.Figure)
+		why := ""
+		switch {
+		case !ok:
+			why = "is not measured"
+		case b.Most != nil && v > *b.Most:
+			why = fmt.Sprintf("is over %g", *b.Most)
+		case b.Least != nil && v < *b.Least:
+			why = fmt.Sprintf("is under %g", *b.Least)
+		case b.OverBaseline != nil:
+			if base := baselineOf(results, r, b.Figure); v > *b.OverBaseline*base {
+				why = fmt.Sprintf("is over %g of the baseline's %g", *b.OverBaseline, base)
+			}
+		}
+		if why != "" {
+			bad++
+			fmt.Printf("OUT OF BOUNDS %s %s: %s = %g %s\n", r.Scenario, r.Deployment, b.Figure, v, why)
+		}
+	}
+	return bad
+}
+
+func baselineOf(results []scene.Result, r scene.Result, figure string) float64 {
+	for _, o := range results {
+		if o.Scenario == r.Scenario && o.Deployment == r.Deployment && o.Policy == "baseline" {
+			v, _ := o.Get(figure)
+			return v
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/bench/cmds/cmds.go
@@ -0,0 +1,74 @@
+// Package cmds holds the bench's commands, one file each. A command is a struct
+// with argument tags that registers itself.
+package cmds
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// ErrBound means that a figure is outside its bound.
+var ErrBound = errors.New("figures out of bounds")
+
+// command is one subcommand.
+type command interface {
+	// Help is one line for the list of commands.
+	Help() string
+	Run() error
+}
+
+var commands = map[string]command{}
+
+// register adds a command under its name.
+func register(name string, c command) { commands[name] = c }
+
+// Main runs the command that the arguments name and returns the exit code.
+func Main() int {
+	args := os.Args[1:]
+	if len(args) == 0 || strings.HasPrefix(args[0], "-") {
+		usage()
+		return exitUsage
+	}
+	c, ok := commands[args[0]]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "bench: no command %q\n", args[0])
+		usage()
+		return exitUsage
+	}
+	p, err := arg.NewParser(arg.Config{Program: "bench " + args[0]}, c)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		return exitFailure
+	}
+	p.MustParse(args[1:])
+	if err := c.Run(); err != nil {
+		fmt.Fprintf(os.Stderr, "bench %s: %v\n", args[0], err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func usage() {
+	names := make([]string, 0, len(commands))
+	for n := range commands {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	fmt.Println("usage: bench COMMAND [ARGUMENTS]; bench COMMAND --help tells more")
+	for _, n := range names {
+		fmt.Printf("  %-10s %s\n", n, commands[n].Help())
+	}
+}
+
--- /dev/null
+++ b/bench/cmds/list.go
@@ -0,0 +1,23 @@
+package cmds
+
+import (
+	"fmt"
+
+	"dandelionstile/bench/scene"
+)
+
+func init() { register("list", &list{}) }
+
+// list names the scenarios.
+type list struct{}
+
+// Help describes the command.
+func (*list) Help() string { return "list the scenarios with their goals" }
+
+// Run prints the list.
+func (*list) Run() error {
+	for _, s := range scene.All() {
+		fmt.Printf("%-14s %s\n", s.Name, s.Goal)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/cmds/run.go
@@ -0,0 +1,84 @@
+package cmds
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/bench/deploy"
+	"dandelionstile/bench/scene"
+)
+
+func init() { register("run", &run{}) }
+
+// run runs scenarios and prints their figures.
+type run struct {
+	Scenarios   []string `arg:"positional" help:"scenarios; all by default"`
+	Deployments []string `arg:"--deployment,separate" help:"himal or kumomaru; both by default"`
+	Policies    []string `arg:"--policy,separate" help:"see below; product and baseline by default"`
+	Seed        uint64   `arg:"--seed" default:"1" help:"seed of all random numbers"`
+	Out         string   `arg:"--out" placeholder:"FILE" help:"write the results to a file"`
+	Notes       bool     `arg:"--notes" help:"print reasons and events too"`
+}
+
+// Help describes the command.
+func (*run) Help() string { return "run scenarios in virtual time" }
+
+// Run runs them.
+func (c *run) Run() error {
+	tasks, err := c.tasks()
+	if err != nil {
+		return err
+	}
+	results := execute(tasks)
+	for _, r := range results {
+		fmt.Println(r.Line())
+		if c.Notes {
+			fmt.Println("    " + r.Notes)
+		}
+		for _, f := range r.Faults {
+			fmt.Println("    FAULT " + f)
+		}
+	}
+	if c.Out != "" {
+		return write(c.Out, results)
+	}
+	return nil
+}
+
+func (c *run) tasks() ([]task, error) {
+	if len(c.Deployments) == 0 {
+		c.Deployments = []string{"himal", "kumomaru"}
+	}
+	if len(c.Policies) == 0 {
+		c.Policies = []string{"product", "baseline"}
+	}
+	if len(c.Scenarios) == 0 {
+		for _, s := range scene.All() {
+			c.Scenarios = append(c.Scenarios, s.Name)
+		}
+	}
+	var tasks []task
+	for _, name := range c.Scenarios {
+		s, ok := scene.ByName(name)
+		if !ok {
+			return nil, errors.Newf("no scenario %q; see bench list", name)
+		}
+		for _, where := range c.Deployments {
+			d, ok := deploy.ByName(where)
+			if !ok {
+				return nil, errors.Newf("no deployment %q", where)
+			}
+			for _, p := range scene.Policies() {
+				if slices.Contains(c.Policies, p.Name) {
+					tasks = append(tasks, task{s, d, p, c.Seed})
+				}
+			}
+		}
+	}
+	if len(tasks) == 0 {
+		return nil, errors.Newf("no policy among %v", c.Policies)
+	}
+	return tasks, nil
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,3 +1,11 @@
+// Command bench measures dandelionstile's decisions in virtual time and its
+// programs on loopback.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"dandelionstile/bench/cmds"
+)
+
+func main() { os.Exit(cmds.Main()) }
--- a/bench/slope/measure.go
+++ b/bench/slope/measure.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"google.golang.org/protobuf/proto"
+
 	"dandelionstile/bench/fleet"
 	"dandelionstile/share/clock"
 	"dandelionstile/share/fanout"
@@ -10,8 +12,6 @@
 	"dandelionstile/share/invent"
 	"dandelionstile/share/query"
 	"dandelionstile/share/wire"
-
-	"google.golang.org/protobuf/proto"
 )
 
 // Domains at the size to design for.
@@ -230,28 +230,40 @@
 	return fit(l)
 }
 
+// testBatch and testOutcomes are messages as a query makes them.
+func testBatch(calls int) *wire.Batch {
+	batch := &wire.Batch{
+		Service: "v000", Layout: 1, Snapshot: 7, Text: "a query of some words", Limit: 10, BudgetMs: 51,
+		Fingerprint: 1 << 60, Caller: "caller-17",
+	}
+	for i := range calls {
+		batch.Calls = append(batch.Calls, &wire.Call{Id: uint64(1e6 + i), Leaf: fmt.Sprintf("s%05d-%d", i, 1), Shard: uint32(i)})
+	}
+	return batch
+}
+
+func testOutcomes(calls int) *wire.Outcomes {
+	outcomes := &wire.Outcomes{}
+	for i := range calls {
+		o := query.Outcome{
+			Call: uint64(1e6 + i), Kind: query.OK, Took: 9,
+			Feedback: &query.Feedback{Leaf: "s00001-1", Busy: 1, Limit: 2, Holds: []invent.Pin{{Layout: 1, Version: 7}}, Pace: 9},
+		}
+		for range 3 {
+			o.Rows = append(o.Rows, query.Row{Key: "garment-0001234", Score: 0.5, Text: "a row with some hundred bytes of text, as a search result has, more or less as long as this one here is"})
+		}
+		outcomes.Outcomes = append(outcomes.Outcomes, wire.OutcomeTo(o))
+	}
+	return outcomes
+}
+
 // WireBytes measures what a query's calls take between hosts, both ways, by the
 // calls in one batch.
 func WireBytes() Line {
 	l := Line{Name: "links: bytes per batch, both ways", Unit: "bytes", Per: "leaf call"}
 	for _, calls := range []int{1, 12, 48} {
-		batch := &wire.Batch{
-			Service: "v000", Layout: 1, Snapshot: 7, Text: "a query of some words", Limit: 10, BudgetMs: 51,
-			Fingerprint: 1 << 60, Caller: "caller-17",
-		}
-		outcomes := &wire.Outcomes{}
-		for i := range calls {
-			batch.Calls = append(batch.Calls, &wire.Call{Id: uint64(1e6 + i), Leaf: fmt.Sprintf("s%05d-%d", i, 1), Shard: uint32(i)})
-			o := query.Outcome{
-				Call: uint64(1e6 + i), Kind: query.OK, Took: 9,
-				Feedback: &query.Feedback{Leaf: "s00001-1", Busy: 1, Limit: 2, Holds: []invent.Pin{{Layout: 1, Version: 7}}, Pace: 9},
-			}
-			for range 3 {
-				o.Rows = append(o.Rows, query.Row{Key: "garment-0001234", Score: 0.5, Text: "a row with some hundred bytes of text, as a search result has, more or less as long as this one here is"})
-			}
-			outcomes.Outcomes = append(outcomes.Outcomes, wire.OutcomeTo(o))
-		}
-		l.Points = append(l.Points, Point{float64(calls), float64(proto.Size(batch) + proto.Size(outcomes))})
+		size := proto.Size(testBatch(calls)) + proto.Size(testOutcomes(calls))
+		l.Points = append(l.Points, Point{float64(calls), float64(size)})
 	}
 	return fit(l)
 }
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -107,8 +107,10 @@
 	q.pinTo(pin, len(s.shards[pin.Layout]))
 	if !e.Policy.NoCanary && (e.strikes.Struck(fingerprint) || !e.good.Has(q.proof())) {
 		q.canary = true
+		// A server that the query brought down earlier counts as a canary.
+		q.canaries = min(e.strikes.Get(now, fingerprint).Count, maxCanaries-1)
 		if out, sent := e.sendCanary(now, q); sent {
-			if s.Patience < 100 {
+			if s.Patience < 100 && q.canaries < maxCanaries {
 				// The service weighs tail latency: whichever canary is back
 				// first lets the rest go.
 				more, _ := e.sendCanary(now, q)
@@ -387,6 +389,9 @@
 	case o.Kind == query.Died:
 		e.died(now, q.fingerprint, o.Strikes, o.RetryAfter)
 		return e.crashed(now, q)
+	case o.Reason == query.ReasonQuarantined && q.deaths > 0 && q.canary:
+		// Its own first canary's death was heard of there before the second ran.
+		return e.canaryFailed(now, q, o)
 	case o.Reason == query.ReasonQuarantined:
 		return e.answerRefused(now, q, query.ReasonQuarantined, o.RetryAfter)
 	case q.canary:
--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -50,16 +50,23 @@
 	// the system.
 	Source string
 
-	engine *nbhttp.Engine
-	done   chan struct{}
+	engine  *nbhttp.Engine
+	done    chan struct{}
+	started time.Time
 }
 
+// SettleTime is how long an nbio engine runs at least before it is stopped. Its
+// event loops clear the stop flag when they begin; a stop that comes before
+// that is lost, and waits for ever.
+const SettleTime = 100 * time.Millisecond
+
 // Start makes the engine ready.
 func (e *Engine) Start() error {
 	e.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "fetch", NPoller: 2, MaxHTTPBodySize: MaxReply, SupportServerOnly: false,
 	})
 	e.done = make(chan struct{})
+	e.started = time.Now()
 	return errors.Wrap(e.engine.Start(), "start http client")
 }
 
@@ -68,6 +75,7 @@
 func (e *Engine) Close() error {
 	if e.engine != nil {
 		close(e.done)
+		time.Sleep(time.Until(e.started.Add(SettleTime)))
 		e.engine.Stop()
 	}
 	return nil
--- a/share/fetch/fetch_test.go
+++ b/share/fetch/fetch_test.go
@@ -62,3 +62,13 @@
 	_, err = Get(e, addr, "/", time.Second)
 	assert.Assert(t, errors.Is(err, ErrNotOpened))
 }
+
+// A command line program that asks one question never ends: it stops the engine
+// before its event loops have begun, and they miss it.
+func TestCloseRightAfterStart(t *testing.T) {
+	for range 20 {
+		e := &Engine{}
+		assert.NilError(t, e.Start())
+		assert.NilError(t, e.Close())
+	}
+}
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -16,6 +16,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/fetch"
 )
 
 // Errors of reading a request.
@@ -49,9 +50,10 @@
 	Handler  http.Handler
 	MaxConns int
 
-	engine *nbhttp.Engine
-	addr   net.Addr
-	active sync.WaitGroup
+	engine  *nbhttp.Engine
+	addr    net.Addr
+	started time.Time
+	active  sync.WaitGroup
 }
 
 // Start listens and serves.
@@ -74,6 +76,7 @@
 			return ln, err
 		},
 	})
+	s.started = time.Now()
 	return errors.Wrapf(s.engine.Start(), "listen on %s", s.Address)
 }
 
@@ -98,6 +101,7 @@
 		return nil
 	}
 	s.active.Wait()
+	time.Sleep(time.Until(s.started.Add(fetch.SettleTime)))
 	s.engine.Stop()
 	return nil
 }
--- /dev/null
+++ b/stile/cmds/check.go
@@ -0,0 +1,82 @@
+package cmds
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/share/conf"
+	"dandelionstile/share/invent"
+)
+
+func init() { register(func() command { return &check{} }, "check", "validate") }
+
+// check reads an inventory and rules and lists every fault and danger.
+type check struct {
+	output
+	Manifest uint64   `arg:"--manifest" placeholder:"VERSION" help:"print the manifest to publish as this version"`
+	Files    []string `arg:"positional,required" placeholder:"FILE" help:"files, or directories of YAML files"`
+}
+
+type shownFault struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Key     string `json:"key"`
+	Problem string `json:"problem"`
+	Hint    string `json:"hint"`
+}
+
+type shownCheck struct {
+	Valid    bool         `json:"valid"`
+	Faults   []shownFault `json:"faults"`
+	Dangers  []string     `json:"dangers"`
+	Services int          `json:"services"`
+	Servers  int          `json:"servers"`
+	Leafs    int          `json:"leafs"`
+}
+
+// Help describes the command.
+func (*check) Help() string { return "check an inventory and rules; list every fault and danger" }
+
+// Run prints what was found.
+func (c *check) Run(out *printer) error {
+	parts, err := readParts(c.Files)
+	if err != nil {
+		return err
+	}
+	cfg, err := invent.Parse(1, parts)
+	var faults conf.Faults
+	if err != nil && !errors.As(err, &faults) {
+		return err
+	}
+	if err != nil {
+		return c.faulty(out, faults)
+	}
+	if c.Manifest > 0 {
+		for i := range parts {
+			parts[i] = base(parts[i])
+		}
+		out.line("%s", invent.NewManifest(c.Manifest, parts).Encode())
+		return nil
+	}
+	s := shownCheck{Valid: true, Faults: []shownFault{}, Dangers: dangers(cfg)}
+	s.Services, s.Servers = len(cfg.Inventory.Services), len(cfg.Inventory.Servers)
+	for _, v := range cfg.Inventory.Servers {
+		s.Leafs += len(v.Leafs)
+	}
+	for _, d := range s.Dangers {
+		out.line("%s %s", out.paint(yellow, "danger:"), d)
+	}
+	out.line("%s %d services, %d backend servers, %d leafs", out.paint(green, "valid:"), s.Services, s.Servers, s.Leafs)
+	return out.value(s)
+}
+
+func (*check) faulty(out *printer, faults conf.Faults) error {
+	s := shownCheck{Faults: []shownFault{}, Dangers: []string{}}
+	for _, f := range faults {
+		out.line("%s %s", out.paint(red, "fault:"), f)
+		s.Faults = append(s.Faults, shownFault(f))
+	}
+	if err := out.value(s); err != nil {
+		return err
+	}
+	return ErrFaulty
+}
--- /dev/null
+++ b/stile/cmds/cmds_test.go
@@ -0,0 +1,91 @@
+package cmds
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// stile runs a command line and returns its exit code and output.
+func stile(args ...string) (int, string, string) {
+	var out, errOut bytes.Buffer
+	code := Main(args, &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+func sample(name string) string { return filepath.Join("..", "..", "samples", name) }
+
+func TestSampleInventoriesAreValid(t *testing.T) {
+	for _, name := range []string{"himal", "kumomaru"} {
+		code, out, errOut := stile("check", sample(name))
+		assert.Equal(t, code, ExitOK, errOut)
+		assert.Assert(t, strings.Contains(out, "valid:"), out)
+	}
+}
+
+// An operator's change takes the last replica of a shard out; it is published
+// because nothing warned of it.
+func TestDiffWarnsOfLostCoverage(t *testing.T) {
+	dir := t.TempDir()
+	files, err := filepath.Glob(filepath.Join(sample("kumomaru"), "*.yaml"))
+	assert.NilError(t, err)
+	for _, f := range files {
+		body, err := os.ReadFile(f)
+		assert.NilError(t, err)
+		if filepath.Base(f) == "rules.yaml" {
+			body = []byte("out-of-service: [sapporo, sendai]\n")
+		}
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, filepath.Base(f)), body, 0o600))
+	}
+	code, out, _ := stile("diff", sample("kumomaru"), dir)
+	assert.Equal(t, code, ExitFault)
+	assert.Assert(t, strings.Contains(out, "coverage is lost"), out)
+	assert.Assert(t, strings.Contains(out, "loses its work: failure domain sapporo is out"), out)
+	code, out, _ = stile("diff", sample("kumomaru"), sample("kumomaru"))
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.Contains(out, "safe:"), out)
+}
+
+func TestCheckListsFaults(t *testing.T) {
+	f := filepath.Join(t.TempDir(), "bad.yaml")
+	assert.NilError(t, os.WriteFile(f, []byte("services:\n  - {name: x}\ncolour: red\n"), 0o600))
+	code, out, _ := stile("check", f)
+	assert.Equal(t, code, ExitFault)
+	for _, want := range []string{"bad.yaml:2: services[0].layouts: missing", "bad.yaml:3: colour: unknown key"} {
+		assert.Assert(t, strings.Contains(out, want), out)
+	}
+	code, out, _ = stile("check", "--output", "json", f)
+	assert.Equal(t, code, ExitFault)
+	assert.Assert(t, strings.Contains(out, `"valid": false`), out)
+}
+
+func TestManifestNamesTheParts(t *testing.T) {
+	code, out, _ := stile("check", "--manifest", "7", sample("himal"))
+	assert.Equal(t, code, ExitOK)
+	assert.Assert(t, strings.Contains(out, "version: 7"), out)
+	assert.Assert(t, strings.Contains(out, "name: rules.yaml"), out)
+}
+
+func TestExitCodes(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		want int
+	}{
+		{nil, ExitUsage},
+		{[]string{"help"}, ExitOK},
+		{[]string{"nonsense"}, ExitUsage},
+		{[]string{"check"}, ExitUsage},
+		{[]string{"check", "--output", "xml", "x"}, ExitUsage},
+		{[]string{"check", "/no/such/file"}, ExitFault},
+		{[]string{"status", "--admin", "127.0.0.1:1", "--timeout", "1s"}, ExitUnreachable},
+		{[]string{"version"}, ExitOK},
+		{[]string{"completion"}, ExitOK},
+	} {
+		code, _, errOut := stile(c.args...)
+		assert.Equal(t, code, c.want, "%v: %s", c.args, errOut)
+	}
+}
--- /dev/null
+++ b/stile/cmds/explain.go
@@ -0,0 +1,74 @@
+package cmds
+
+import (
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/share/fetch"
+)
+
+func init() { register(func() command { return &explain{} }, "explain") }
+
+// explain tells why a query went where.
+type explain struct {
+	asking
+	ID string `arg:"positional,required" help:"id of the answer"`
+}
+
+type shownStep struct {
+	At    int64  `json:"at-ms"`
+	Event string `json:"event"`
+	Shard int    `json:"shard"`
+	Leaf  string `json:"leaf"`
+	Host  string `json:"host"`
+	Cause string `json:"cause"`
+}
+
+type shownQuery struct {
+	ID       string          `json:"id"`
+	Service  string          `json:"service"`
+	Snapshot string          `json:"snapshot"`
+	Took     int64           `json:"took-ms"`
+	Shards   int             `json:"shards"`
+	Answered int             `json:"answered"`
+	Missing  []missingStatus `json:"missing"`
+	Calls    int             `json:"calls"`
+	Extra    int             `json:"extra-attempts"`
+	Refused  string          `json:"refused"`
+	Steps    []shownStep     `json:"steps"`
+}
+
+// Help describes the command.
+func (*explain) Help() string {
+	return "tell why a query went where, and what was retried, hedged or refused"
+}
+
+// Run asks the entries until one knows the query.
+func (c *explain) Run(out *printer) error {
+	engine := &fetch.Engine{}
+	if err := engine.Start(); err != nil {
+		return err
+	}
+	defer func() { _ = engine.Close() }() // only reads were made
+	for _, addr := range c.Admin {
+		var q shownQuery
+		if err := c.get(engine, addr, "/v1/explain/"+url.PathEscape(c.ID), &q); err == nil {
+			return show(out, q)
+		}
+	}
+	return errors.Wrapf(ErrUnreachable, "no entry that was asked knows %s; each keeps its last 2000 queries", c.ID)
+}
+
+func show(out *printer, q shownQuery) error {
+	out.line("query %s, service %s, snapshot %s", q.ID, q.Service, q.Snapshot)
+	if q.Refused != "" {
+		out.line("%s %s", out.paint(red, "refused:"), q.Refused)
+	}
+	out.line("answered %d of %d shards in %d ms with %d leaf calls, %d of them extra%s",
+		q.Answered, q.Shards, q.Took, q.Calls, q.Extra, reasons(q.Missing))
+	for _, s := range q.Steps {
+		out.line("%6d ms  %-15s shard %-4d %-26s %-10s %s", s.At, s.Event, s.Shard, s.Leaf, s.Host, s.Cause)
+	}
+	return out.value(q)
+}
--- /dev/null
+++ b/stile/cmds/files.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/share/invent"
+)
+
+// readParts reads files, and the YAML files of directories, in order of name.
+func readParts(paths []string) ([]invent.Part, error) {
+	var files []string
+	for _, p := range paths {
+		info, err := os.Stat(p)
+		if err != nil {
+			return nil, errors.Wrap(err, "look at file")
+		}
+		if !info.IsDir() {
+			files = append(files, p)
+			continue
+		}
+		found, err := filepath.Glob(filepath.Join(p, "*.yaml"))
+		if err != nil {
+			return nil, errors.Wrap(err, "list directory")
+		}
+		sort.Strings(found)
+		files = append(files, found...)
+	}
+	parts := make([]invent.Part, 0, len(files))
+	for _, f := range files {
+		body, err := os.ReadFile(f)
+		if err != nil {
+			return nil, errors.Wrap(err, "read file")
+		}
+		parts = append(parts, invent.Part{Name: f, Body: body})
+	}
+	return parts, nil
+}
+
+// load reads and checks a configuration.
+func load(paths []string) (*invent.Config, error) {
+	parts, err := readParts(paths)
+	if err != nil {
+		return nil, err
+	}
+	return invent.Parse(1, parts)
+}
+
+// base is the name that a part has in a manifest.
+func base(p invent.Part) invent.Part {
+	p.Name = strings.TrimPrefix(filepath.Base(p.Name), "/")
+	return p
+}
--- /dev/null
+++ b/stile/cmds/status.go
@@ -0,0 +1,102 @@
+package cmds
+
+import "fmt"
+
+func init() { register(func() command { return &status{} }, "status", "st") }
+
+// status shows hosts, versions in force, ramps and quarantines.
+type status struct {
+	asking
+	Leafs bool `arg:"--leafs" help:"list every leaf, not only those that are not at full"`
+}
+
+// Help describes the command.
+func (*status) Help() string {
+	return "show hosts, versions in force, leafs that warm up or are closed, and quarantines"
+}
+
+// Run prints it; programs that differ or do not answer are a fault.
+func (c *status) Run(out *printer) error {
+	all, err := c.status()
+	if err != nil {
+		return err
+	}
+	faulty := false
+	for _, p := range all {
+		faulty = c.program(out, p) || faulty
+	}
+	if newest, behind := versions(all); len(behind) > 0 {
+		faulty = true
+		for _, b := range behind {
+			out.line("%s %s", out.paint(yellow, "behind:"), b)
+		}
+	} else {
+		out.line("configuration %d is in force on all that answered", newest)
+	}
+	if err := out.value(all); err != nil {
+		return err
+	}
+	if faulty {
+		return ErrFaulty
+	}
+	return nil
+}
+
+func (c *status) program(out *printer, p program) (faulty bool) {
+	if p.Problem != "" {
+		out.line("%s %s: %s", out.paint(red, "no answer:"), p.Admin, p.Problem)
+		return true
+	}
+	n := p.Node
+	state := out.paint(green, "ready")
+	switch {
+	case n.Leaving:
+		state = out.paint(yellow, "leaving")
+	case !n.Ready:
+		state = out.paint(red, "not ready")
+	}
+	platform := "platform never heard"
+	if n.PlatformAge >= 0 {
+		platform = fmt.Sprintf("platform heard %d ms ago", n.PlatformAge)
+	}
+	out.line("%-10s %-12s %-10s %s, %s%s", n.Host, n.Domain, n.Program, state, platform, watching(n))
+	for _, r := range n.Refused {
+		out.line("    refused %s %d: %s", r.Key, r.Version, r.Why)
+	}
+	for _, f := range p.Leafs {
+		if f.Primary && (c.Leafs || f.Closed != "" || f.RampLeft > 0) {
+			out.line("    leaf %-26s busy %d/%d of %d, queued %d, connections %d, ramp left %d ms %s",
+				f.Leaf, f.Busy, f.Limit, f.Slots, f.Queued, f.Conns, f.RampLeft, f.Closed)
+		}
+	}
+	for _, s := range p.Strikes {
+		out.line("    quarantined %s: %d servers, %d ms left", s.Fingerprint, s.Count, s.Left)
+	}
+	return !n.Ready
+}
+
+func watching(n nodeStatus) string {
+	if n.Watching {
+		return ", watching"
+	}
+	return ""
+}
+
+// versions finds the newest configuration and who has an older one.
+func versions(all []program) (newest uint64, behind []string) {
+	have := map[string]uint64{}
+	for _, p := range all {
+		for _, v := range p.Node.Versions {
+			if v.Key == "config" {
+				have[p.Node.Host+"/"+p.Node.Program] = v.Version
+				newest = max(newest, v.Version)
+			}
+		}
+	}
+	for _, name := range sortedNames(have) {
+		if have[name] != newest {
+			behind = append(behind, fmt.Sprintf("%s has configuration %d, the newest is %d", name, have[name], newest))
+		}
+	}
+	return newest, behind
+}
