--- a/share/fanout/engine_test.go
+++ b/share/fanout/engine_test.go
@@ -311,3 +311,14 @@
 	assert.Assert(t, d.enter("modest", false))
 	assert.Assert(t, !d.enter("greedy", false))
 }
+
+// A query is refused while its first crash goes round; its caller must be told
+// when to come back.
+func TestQuarantinedAnswerSaysWhenToComeBack(t *testing.T) {
+	e := testEngine(Policy{})
+	canary := calls(ask(e, 1, 1))
+	a, done := answerOf(e.Outcome(2, query.Outcome{Call: canary[0].ID, Kind: query.NotRun, Reason: query.ReasonQuarantined}))
+	assert.Assert(t, done)
+	assert.Equal(t, a.Refused, query.ReasonQuarantined)
+	assert.Assert(t, a.RetryAfter > 0)
+}
--- a/share/fanout/query.go
+++ b/share/fanout/query.go
@@ -393,7 +393,8 @@
 		// Its own first canary's death was heard of there before the second ran.
 		return e.canaryFailed(now, q, o)
 	case o.Reason == query.ReasonQuarantined:
-		return e.answerRefused(now, q, query.ReasonQuarantined, o.RetryAfter)
+		left := max(o.RetryAfter, e.strikes.Get(now, q.fingerprint).Left, poison.Suspect)
+		return e.answerRefused(now, q, query.ReasonQuarantined, left)
 	case q.canary:
 		return e.canaryFailed(now, q, o)
 	case st.flying > 0:
--- a/share/meter/meter.go
+++ b/share/meter/meter.go
@@ -16,6 +16,16 @@
 // reportEvery is how often tally hands its counts on.
 const reportEvery = time.Second
 
+// sanitize lets label values stand as the inventory has them.
+var sanitize = tally.SanitizeOptions{
+	NameCharacters: prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:  prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '.', '/', ':', ' '},
+	},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
 // Meter is the root of a program's metrics. The zero value counts nothing.
 type Meter struct {
 	scope    tally.Scope
@@ -33,7 +43,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "dandelionstile", Tags: map[string]string{"program": program},
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions: &sanitize,
 		// tally's metrics about itself would double the page.
 		OmitCardinalityMetrics: true,
 	}, reportEvery)
