--- a/bench/cmds/run.go
+++ b/bench/cmds/run.go
@@ -16,7 +16,7 @@
 type run struct {
 	Scenarios   []string `arg:"positional" help:"scenarios; all by default"`
 	Deployments []string `arg:"--deployment,separate" help:"himal or kumomaru; both by default"`
-	Policies    []string `arg:"--policy,separate" help:"see below; product and baseline by default"`
+	Policies    []string `arg:"--policy,separate" help:"product, baseline or a variant; the first two by default"`
 	Seed        uint64   `arg:"--seed" default:"1" help:"seed of all random numbers"`
 	Out         string   `arg:"--out" placeholder:"FILE" help:"write the results to a file"`
 	Notes       bool     `arg:"--notes" help:"print reasons and events too"`
@@ -70,7 +70,7 @@
 			if !ok {
 				return nil, errors.Newf("no deployment %q", where)
 			}
-			for _, p := range scene.Policies() {
+			for _, p := range append(scene.Policies(), scene.Variants()...) {
 				if slices.Contains(c.Policies, p.Name) {
 					tasks = append(tasks, task{s, d, p, c.Seed})
 				}
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -10,6 +10,8 @@
 	"dandelionstile/bench/deploy"
 	"dandelionstile/bench/virt"
 	"dandelionstile/share/clock"
+	"dandelionstile/share/fanout"
+	"dandelionstile/share/gate"
 )
 
 // Figure is one measured number.
@@ -54,6 +56,22 @@
 	}
 }
 
+// Variants are other settings of single choices, to weigh them.
+func Variants() []Policy {
+	return []Policy{
+		{Name: "least-loaded", Policies: virt.Policies{Fanout: fanout.Policy{Choose: fanout.ChooseLeast}}},
+		{Name: "random", Policies: virt.Policies{Fanout: fanout.Policy{Choose: fanout.ChooseRandom}}},
+		{Name: "no-canary", Policies: virt.Policies{Fanout: fanout.Policy{NoCanary: true}}},
+		{Name: "no-hedge", Policies: virt.Policies{Fanout: fanout.Policy{NoHedge: true}}},
+		{Name: "hedge-99", Policies: virt.Policies{Fanout: fanout.Policy{HedgeQuantile: 99}}},
+		{Name: "budget-10", Policies: virt.Policies{Fanout: fanout.Policy{BudgetPercent: 10}}},
+		{Name: "oldest-first", Policies: virt.Policies{Gate: gate.Policy{Order: gate.OrderOldest}}},
+		{Name: "newest-first", Policies: virt.Policies{Gate: gate.Policy{Order: gate.OrderNewest}}},
+		{Name: "long-queue", Policies: virt.Policies{Gate: gate.Policy{QueuePerSlot: 32}}},
+		{Name: "open-door", Policies: virt.Policies{Fanout: fanout.Policy{NoBackpressure: true}}},
+	}
+}
+
 // Run is one run of a scenario.
 type Run struct {
 	W *virt.World
