--- a/aggregator/core/core.go
+++ b/aggregator/core/core.go
@@ -20,6 +20,7 @@
 	"dandelionstile/share/place"
 	"dandelionstile/share/poison"
 	"dandelionstile/share/query"
+	"dandelionstile/share/show"
 	"dandelionstile/share/spans"
 	"dandelionstile/share/wire"
 )
@@ -64,7 +65,7 @@
 	tick   struct{}
 	leave  struct{ done chan struct{} }
 	refuse struct{}
-	show   struct{ reply chan Shown }
+	status struct{ reply chan show.Program }
 )
 
 // Start links up and begins to serve.
@@ -116,7 +117,7 @@
 		close(m.done)
 	case refuse:
 		c.act(now, c.gate.Leave(now))
-	case show:
+	case status:
 		m.reply <- c.shown(now)
 	}
 }
@@ -222,64 +223,29 @@
 	}
 }
 
-// Shown is an aggregator's state as operators see it.
-type Shown struct {
-	Node    node.Shown    `json:"node"`
-	Leafs   []ShownLeaf   `json:"leafs"`
-	Strikes []ShownStrike `json:"quarantine"`
-}
-
-// ShownLeaf is one leaf's state.
-type ShownLeaf struct {
-	Leaf      string `json:"leaf"`
-	Server    string `json:"server"`
-	Service   string `json:"service"`
-	Primary   bool   `json:"primary"`
-	Exclusive bool   `json:"exclusive"`
-	Busy      int    `json:"busy"`
-	Queued    int    `json:"queued"`
-	Limit     int    `json:"limit"`
-	Slots     int    `json:"slots"`
-	Conns     int    `json:"connections"`
-	RampLeft  int64  `json:"ramp-left-ms"`
-	Closed    string `json:"closed"`
-}
-
-// ShownStrike is a request that is refused.
-type ShownStrike struct {
-	Fingerprint string `json:"fingerprint"`
-	Count       int    `json:"count"`
-	Left        int64  `json:"left-ms"`
-}
-
-func (c *Core) shown(now clock.Milli) Shown {
-	s := Shown{Node: c.node.Show(now), Leafs: []ShownLeaf{}, Strikes: []ShownStrike{}}
+func (c *Core) shown(now clock.Milli) show.Program {
+	s := show.Program{Node: c.node.Show(now), Strikes: show.StrikesFrom(c.gate.Strikes(now))}
 	for _, l := range c.gate.State(now) {
-		s.Leafs = append(s.Leafs, ShownLeaf{
+		s.Leafs = append(s.Leafs, show.Leaf{
 			Leaf: l.Leaf, Server: l.Server, Service: l.Service, Primary: l.Primary, Exclusive: l.Exclusive,
 			Busy: l.Busy, Queued: l.Queued, Limit: l.Limit, Slots: l.Slots, Conns: l.Conns,
 			RampLeft: int64(l.RampLeft), Closed: string(l.Closed),
 		})
 	}
-	for _, k := range c.gate.Strikes(now) {
-		s.Strikes = append(s.Strikes, ShownStrike{
-			Fingerprint: fmt.Sprintf("%016x", k.Fingerprint), Count: k.Count, Left: int64(k.Left),
-		})
-	}
 	return s
 }
 
 // Show returns the state, or false when the loop has ended.
-func (c *Core) Show() (Shown, bool) {
-	ask := show{reply: make(chan Shown, 1)}
+func (c *Core) Show() (show.Program, bool) {
+	ask := status{reply: make(chan show.Program, 1)}
 	if !c.loop.Post(ask) {
-		return Shown{}, false
+		return show.Program{}, false
 	}
 	select {
 	case s := <-ask.reply:
 		return s, true
 	case <-time.After(time.Second):
-		return Shown{}, false
+		return show.Program{}, false
 	}
 }
 
@@ -302,7 +268,7 @@
 	}
 }
 
-func idle(s Shown) bool {
+func idle(s show.Program) bool {
 	for _, l := range s.Leafs {
 		if l.Busy > 0 || l.Queued > 0 {
 			return false
--- a/entry/core/admin.go
+++ b/entry/core/admin.go
@@ -1,100 +1,39 @@
 package core
 
 import (
-	"fmt"
 	"net/http"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/httpd"
-	"dandelionstile/share/node"
+	"dandelionstile/share/show"
 )
 
-// Shown is an entry's state as operators see it.
-type Shown struct {
-	Node     node.Shown     `json:"node"`
-	Services []ShownService `json:"services"`
-	Strikes  []ShownStrike  `json:"quarantine"`
-}
-
-// ShownService is what the entry could answer for a service now.
-type ShownService struct {
-	Service  string         `json:"service"`
-	Snapshot string         `json:"snapshot"`
-	Shards   int            `json:"shards"`
-	Answered int            `json:"reachable"`
-	Missing  []ShownMissing `json:"missing"`
-}
-
-// ShownMissing is a shard that could not be answered.
-type ShownMissing struct {
-	Shard  int    `json:"shard"`
-	Reason string `json:"reason"`
-}
-
-// ShownStrike is a request that is refused.
-type ShownStrike struct {
-	Fingerprint string `json:"fingerprint"`
-	Count       int    `json:"count"`
-	Left        int64  `json:"left-ms"`
-}
-
-// ShownQuery explains an answered query.
-type ShownQuery struct {
-	ID       string         `json:"id"`
-	Service  string         `json:"service"`
-	Snapshot string         `json:"snapshot"`
-	Took     int64          `json:"took-ms"`
-	Shards   int            `json:"shards"`
-	Answered int            `json:"answered"`
-	Missing  []ShownMissing `json:"missing"`
-	Calls    int            `json:"calls"`
-	Extra    int            `json:"extra-attempts"`
-	Refused  string         `json:"refused"`
-	Steps    []ShownStep    `json:"steps"`
-}
-
-// ShownStep is one decision.
-type ShownStep struct {
-	At    int64  `json:"at-ms"`
-	Event string `json:"event"`
-	Shard int    `json:"shard"`
-	Leaf  string `json:"leaf"`
-	Host  string `json:"host"`
-	Cause string `json:"cause"`
-}
-
-func (c *Core) shown(now clock.Milli) Shown {
-	s := Shown{Node: c.node.Show(now), Services: []ShownService{}, Strikes: []ShownStrike{}}
+func (c *Core) shown(now clock.Milli) show.Program {
+	s := show.Program{Node: c.node.Show(now), Strikes: show.StrikesFrom(c.fan.Strikes(now))}
 	if cfg := c.fan.Config(); cfg != nil {
 		for _, v := range cfg.Inventory.Services {
 			s.Services = append(s.Services, c.shownService(v.Name))
 		}
 	}
-	for _, k := range c.fan.Strikes(now) {
-		s.Strikes = append(s.Strikes, ShownStrike{
-			Fingerprint: fmt.Sprintf("%016x", k.Fingerprint), Count: k.Count, Left: int64(k.Left),
-		})
-	}
 	return s
 }
 
-func (c *Core) shownService(name string) ShownService {
+func (c *Core) shownService(name string) show.Service {
 	reach := c.fan.Reach(name)
-	v := ShownService{Service: name, Shards: reach.Shards, Answered: reach.Answered, Missing: []ShownMissing{}}
+	v := show.Service{
+		Service: name, Shards: reach.Shards, Answered: reach.Answered, Missing: show.MissingFrom(reach.Missing),
+	}
 	if pin, ok := c.fan.Pin(name); ok {
 		v.Snapshot = pin.String()
 	}
-	for _, m := range reach.Missing {
-		v.Missing = append(v.Missing, ShownMissing{Shard: m.Shard, Reason: string(m.Reason)})
-	}
 	return v
 }
 
 // Show returns the state, or false when the loop has ended.
-func (c *Core) Show() (Shown, bool) { return inLoop(c, c.shown) }
+func (c *Core) Show() (show.Program, bool) { return inLoop(c, c.shown) }
 
 // Explain returns what is kept of an answered query.
-func (c *Core) Explain(id string) (ShownQuery, bool) {
+func (c *Core) Explain(id string) (show.Query, bool) {
 	type found struct {
 		query Explained
 		ok    bool
@@ -104,19 +43,17 @@
 		return found{e, ok}
 	})
 	if !ok || !got.ok {
-		return ShownQuery{}, false
+		return show.Query{}, false
 	}
 	e := got.query
-	s := ShownQuery{
+	s := show.Query{
 		ID: e.ID, Service: e.Service, Snapshot: e.Answer.Pin.String(), Took: int64(e.Answered - e.Arrived),
 		Shards: e.Answer.Coverage.Shards, Answered: e.Answer.Coverage.Answered, Calls: e.Answer.Calls,
-		Extra: e.Answer.Extra, Refused: string(e.Answer.Refused), Missing: []ShownMissing{}, Steps: []ShownStep{},
-	}
-	for _, m := range e.Answer.Coverage.Missing {
-		s.Missing = append(s.Missing, ShownMissing{Shard: m.Shard, Reason: string(m.Reason)})
+		Extra: e.Answer.Extra, Refused: string(e.Answer.Refused), Steps: []show.Step{},
+		Missing: show.MissingFrom(e.Answer.Coverage.Missing),
 	}
 	for _, t := range e.Trail {
-		s.Steps = append(s.Steps, ShownStep{
+		s.Steps = append(s.Steps, show.Step{
 			At: int64(t.At - e.Arrived), Event: string(t.Event), Shard: t.Shard,
 			Leaf: t.Leaf, Host: t.Host, Cause: string(t.Cause),
 		})
--- a/share/node/node.go
+++ b/share/node/node.go
@@ -18,6 +18,7 @@
 	"dandelionstile/share/mesh"
 	"dandelionstile/share/place"
 	"dandelionstile/share/poison"
+	"dandelionstile/share/show"
 	"dandelionstile/share/spread"
 	"dandelionstile/share/wire"
 )
@@ -127,7 +128,7 @@
 	strikes      map[uint64]*sharing
 	lastID       uint64
 	reads        sync.WaitGroup
-	shown        Shown
+	refused      []show.Refused
 }
 
 // peer is what is known of the process at the other end of a link.
@@ -382,7 +383,7 @@
 				n.Post(PlatformRead{spread.Read{Key: a.Key, Set: set, Err: err}})
 			})
 		case spread.Refuse:
-			n.shown.refused(a)
+			n.noteRefused(a)
 			n.Log.Error().Err(a.Err).Str("key", a.Key).Uint64("version", a.Stamp.Version).
 				Msg("version is invalid and was refused; the former stays in force")
 		case spread.Adopt:
--- /dev/null
+++ b/share/show/show.go
@@ -0,0 +1,137 @@
+// Package show holds the bodies of the programs' admin endpoints, as the
+// programs write them and `stile` reads them.
+package show
+
+import (
+	"fmt"
+
+	"dandelionstile/share/poison"
+	"dandelionstile/share/query"
+)
+
+// Program is the body of /v1/status. An aggregator fills Leafs, an entry
+// Services.
+type Program struct {
+	Node     Node      `json:"node"`
+	Leafs    []Leaf    `json:"leafs,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	Strikes  []Strike  `json:"quarantine,omitempty"`
+}
+
+// Node is what both programs tell of themselves.
+type Node struct {
+	Host        string `json:"host"`
+	Domain      string `json:"failure-domain"`
+	Program     string `json:"program"`
+	Incarnation uint64 `json:"incarnation"`
+	Ready       bool   `json:"ready"`
+	Leaving     bool   `json:"leaving"`
+	Watching    bool   `json:"watching"`
+	// PlatformAge is how long ago the platform was last heard by anyone this
+	// program knows of, in ms; -1 for never.
+	PlatformAge int64     `json:"platform-age-ms"`
+	Versions    []Version `json:"versions"`
+	Refused     []Refused `json:"refused"`
+	Peers       []Peer    `json:"peers"`
+}
+
+// Version is a version in force.
+type Version struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Digest  uint64 `json:"digest"`
+}
+
+// Refused is a version that was found invalid.
+type Refused struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Why     string `json:"why"`
+}
+
+// Peer is a link.
+type Peer struct {
+	Name    string `json:"name"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Leaf is a leaf as its aggregator sees it.
+type Leaf struct {
+	Leaf      string `json:"leaf"`
+	Server    string `json:"server"`
+	Service   string `json:"service"`
+	Primary   bool   `json:"primary"`
+	Exclusive bool   `json:"exclusive"`
+	Busy      int    `json:"busy"`
+	Queued    int    `json:"queued"`
+	Limit     int    `json:"limit"`
+	Slots     int    `json:"slots"`
+	Conns     int    `json:"connections"`
+	RampLeft  int64  `json:"ramp-left-ms"`
+	Closed    string `json:"closed"`
+}
+
+// Service is what an entry could answer for a service now.
+type Service struct {
+	Service  string    `json:"service"`
+	Snapshot string    `json:"snapshot"`
+	Shards   int       `json:"shards"`
+	Answered int       `json:"reachable"`
+	Missing  []Missing `json:"missing"`
+}
+
+// Missing is a shard that an answer lacks, or would lack.
+type Missing struct {
+	Shard  int    `json:"shard"`
+	Reason string `json:"reason"`
+}
+
+// Strike is a request that is refused.
+type Strike struct {
+	Fingerprint string `json:"fingerprint"`
+	Count       int    `json:"count"`
+	Left        int64  `json:"left-ms"`
+}
+
+// Query is the body of /v1/explain.
+type Query struct {
+	ID       string    `json:"id"`
+	Service  string    `json:"service"`
+	Snapshot string    `json:"snapshot"`
+	Took     int64     `json:"took-ms"`
+	Shards   int       `json:"shards"`
+	Answered int       `json:"answered"`
+	Missing  []Missing `json:"missing"`
+	Calls    int       `json:"calls"`
+	Extra    int       `json:"extra-attempts"`
+	Refused  string    `json:"refused"`
+	Steps    []Step    `json:"steps"`
+}
+
+// Step is one decision about a query.
+type Step struct {
+	At    int64  `json:"at-ms"`
+	Event string `json:"event"`
+	Shard int    `json:"shard"`
+	Leaf  string `json:"leaf"`
+	Host  string `json:"host"`
+	Cause string `json:"cause"`
+}
+
+// MissingFrom maps the missing shards of a coverage.
+func MissingFrom(list []query.Missing) []Missing {
+	out := make([]Missing, len(list))
+	for i, m := range list {
+		out[i] = Missing{Shard: m.Shard, Reason: string(m.Reason)}
+	}
+	return out
+}
+
+// StrikesFrom maps the strikes of a table.
+func StrikesFrom(list []poison.Strike) []Strike {
+	out := make([]Strike, len(list))
+	for i, s := range list {
+		out[i] = Strike{Fingerprint: fmt.Sprintf("%016x", s.Fingerprint), Count: s.Count, Left: int64(s.Left)}
+	}
+	return out
+}
--- a/stile/cmds/coverage.go
+++ b/stile/cmds/coverage.go
@@ -1,6 +1,10 @@
 package cmds
 
-import "strconv"
+import (
+	"strconv"
+
+	"dandelionstile/share/show"
+)
 
 func init() { register(func() command { return &coverage{} }, "coverage", "cov") }
 
@@ -8,8 +12,8 @@
 type coverage struct{ asking }
 
 type shownCoverage struct {
-	Host     string          `json:"host"`
-	Services []serviceStatus `json:"services"`
+	Host     string         `json:"host"`
+	Services []show.Service `json:"services"`
 }
 
 // Help describes the command.
@@ -49,7 +53,7 @@
 	return nil
 }
 
-func reasons(list []missingStatus) string {
+func reasons(list []show.Missing) string {
 	text := ""
 	for _, m := range list {
 		text += " " + strconv.Itoa(m.Shard) + "=" + m.Reason
--- a/stile/cmds/explain.go
+++ b/stile/cmds/explain.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionstile/share/fetch"
+	"dandelionstile/share/show"
 )
 
 func init() { register(func() command { return &explain{} }, "explain") }
@@ -16,29 +17,6 @@
 	ID string `arg:"positional,required" help:"id of the answer"`
 }
 
-type shownStep struct {
-	At    int64  `json:"at-ms"`
-	Event string `json:"event"`
-	Shard int    `json:"shard"`
-	Leaf  string `json:"leaf"`
-	Host  string `json:"host"`
-	Cause string `json:"cause"`
-}
-
-type shownQuery struct {
-	ID       string          `json:"id"`
-	Service  string          `json:"service"`
-	Snapshot string          `json:"snapshot"`
-	Took     int64           `json:"took-ms"`
-	Shards   int             `json:"shards"`
-	Answered int             `json:"answered"`
-	Missing  []missingStatus `json:"missing"`
-	Calls    int             `json:"calls"`
-	Extra    int             `json:"extra-attempts"`
-	Refused  string          `json:"refused"`
-	Steps    []shownStep     `json:"steps"`
-}
-
 // Help describes the command.
 func (*explain) Help() string {
 	return "tell why a query went where, and what was retried, hedged or refused"
@@ -52,15 +30,15 @@
 	}
 	defer func() { _ = engine.Close() }() // only reads were made
 	for _, addr := range c.Admin {
-		var q shownQuery
+		var q show.Query
 		if err := c.get(engine, addr, "/v1/explain/"+url.PathEscape(c.ID), &q); err == nil {
-			return show(out, q)
+			return printQuery(out, q)
 		}
 	}
 	return errors.Wrapf(ErrUnreachable, "no entry that was asked knows %s; each keeps its last 2000 queries", c.ID)
 }
 
-func show(out *printer, q shownQuery) error {
+func printQuery(out *printer, q show.Query) error {
 	out.line("query %s, service %s, snapshot %s", q.ID, q.Service, q.Snapshot)
 	if q.Refused != "" {
 		out.line("%s %s", out.paint(red, "refused:"), q.Refused)
--- a/stile/cmds/status.go
+++ b/stile/cmds/status.go
@@ -1,6 +1,10 @@
 package cmds
 
-import "fmt"
+import (
+	"fmt"
+
+	"dandelionstile/share/show"
+)
 
 func init() { register(func() command { return &status{} }, "status", "st") }
 
@@ -75,7 +79,7 @@
 	return !n.Ready
 }
 
-func watching(n nodeStatus) string {
+func watching(n show.Node) string {
 	if n.Watching {
 		return ", watching"
 	}
