--- /dev/null
+++ b/bench/cmds/load.go
@@ -0,0 +1,169 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"dandelionstile/share/fetch"
+)
+
+func init() { register("load", &load{}) }
+
+// load sends queries to running entries at a steady rate, in wall time.
+type load struct {
+	Entries  []string      `arg:"positional,required" placeholder:"IP:PORT" help:"callers' addresses of entries, loopback only"`
+	Service  string        `arg:"--service,required" help:"service to ask"`
+	Rate     int           `arg:"--rate" default:"200" help:"queries a second, at most 20000"`
+	Span     time.Duration `arg:"--span" default:"10s" help:"how long, at most 10m"`
+	Workers  int           `arg:"--workers" default:"64" help:"connections"`
+	Texts    int           `arg:"--texts" default:"500" help:"how many different queries"`
+	BudgetMS int           `arg:"--budget-ms" default:"1000" help:"time budget of a query"`
+}
+
+// Bounds of a load.
+const (
+	mostRate = 20000
+	mostSpan = 10 * time.Minute
+)
+
+// tally counts what came back.
+type tally struct {
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram
+	complete int
+	partial  int
+	extra    int
+	failed   int
+	refused  map[string]int
+}
+
+// loadAnswer is what is read of an answer or refusal.
+type loadAnswer struct {
+	Complete bool   `json:"complete"`
+	Extra    int    `json:"extra-attempts"`
+	Reason   string `json:"reason"`
+}
+
+// Help describes the command.
+func (*load) Help() string { return "send queries to running entries and report what came back" }
+
+// Run sends the load and prints the counts.
+func (c *load) Run() error {
+	for _, e := range c.Entries {
+		if len(e) < 4 || e[:4] != "127." {
+			return errors.Newf("%s is not a loopback address", e)
+		}
+	}
+	if c.Rate < 1 || c.Rate > mostRate || c.Span > mostSpan || c.Workers < 1 {
+		return errors.Newf("rate must be 1 to %d, span at most %s, workers at least 1", mostRate, mostSpan)
+	}
+	engine := &fetch.Engine{}
+	if err := engine.Start(); err != nil {
+		return err
+	}
+	defer func() { _ = engine.Close() }() // the load is over
+	t := &tally{latency: hdrhistogram.New(1, 600000, 3), refused: map[string]int{}}
+	due := make(chan int, mostRate)
+	var wait sync.WaitGroup
+	for w := range c.Workers {
+		wait.Go(func() { c.work(engine, c.Entries[w%len(c.Entries)], due, t) })
+	}
+	c.feed(due)
+	close(due)
+	wait.Wait()
+	c.print(t)
+	return nil
+}
+
+// feed makes queries due at the rate, whatever becomes of those before: a load
+// that waits for answers hides how slow they are.
+func (c *load) feed(due chan<- int) {
+	begin := time.Now()
+	for n := 0; ; {
+		past := time.Since(begin)
+		if past >= c.Span {
+			return
+		}
+		for ; n < int(past.Seconds()*float64(c.Rate)); n++ {
+			select {
+			case due <- n:
+			default: // workers are far behind; what is not sent shows in the counts
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (c *load) work(engine *fetch.Engine, addr string, due <-chan int, t *tally) {
+	conn := &fetch.Conn{Engine: engine, Address: addr}
+	defer func() { conn.Shut() }()
+	for n := range due {
+		body := fmt.Sprintf(`{"service":%q,"text":"text %d","limit":10,"budget-ms":%d}`, c.Service, n%max(1, c.Texts), c.BudgetMS)
+		r, err := fetch.Request(http.MethodPost, addr, "/v1/query", []byte(body))
+		if err != nil {
+			t.fail()
+			continue
+		}
+		sent := time.Now()
+		done := make(chan error, 1)
+		conn.Do(r, func(reply fetch.Reply, err error) {
+			if err == nil {
+				t.count(reply, time.Since(sent))
+			}
+			done <- err
+		})
+		if <-done != nil {
+			t.fail()
+			go conn.Shut()
+			conn = &fetch.Conn{Engine: engine, Address: addr}
+		}
+	}
+}
+
+func (t *tally) fail() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failed++
+}
+
+func (t *tally) count(reply fetch.Reply, took time.Duration) {
+	var a loadAnswer
+	err := json.Unmarshal(reply.Body, &a)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case err != nil:
+		t.failed++
+	case reply.Status != http.StatusOK:
+		t.refused[a.Reason]++
+	default:
+		_ = t.latency.RecordValue(min(took.Microseconds()/100, 600000)) // in range
+		t.extra += a.Extra
+		if a.Complete {
+			t.complete++
+		} else {
+			t.partial++
+		}
+	}
+}
+
+func (c *load) print(t *tally) {
+	ms := func(q float64) float64 { return float64(t.latency.ValueAtQuantile(q)) / 10 }
+	fmt.Printf("complete %d, partial %d, failed %d, extra leaf calls %d\n", t.complete, t.partial, t.failed, t.extra)
+	fmt.Printf("p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms\n", ms(50), ms(99), ms(99.9))
+	reasons := make([]string, 0, len(t.refused))
+	for r := range t.refused {
+		reasons = append(reasons, r)
+	}
+	sort.Strings(reasons)
+	for _, r := range reasons {
+		fmt.Printf("refused %s: %d\n", r, t.refused[r])
+	}
+}
--- a/share/fanout/engine.go
+++ b/share/fanout/engine.go
@@ -126,7 +126,7 @@
 
 // Defaults and bounds.
 const (
-	defaultBudgetPercent = 3
+	defaultBudgetPercent = 5
 	defaultHedgeQuantile = 95
 	// maxTries bounds the attempts per shard, whatever the budget.
 	maxTries = 4
