--- a/share/fanout/engine.go
+++ b/share/fanout/engine.go
@@ -191,37 +191,6 @@
 	learnt  clock.Milli
 }
 
-// host is an entry's view of one aggregator.
-type host struct {
-	up      bool
-	leaving bool
-	rtt     float64 // in ms
-	heard   clock.Milli
-	flying  int         // our calls at it
-	since   clock.Milli // since when calls have been out without a break
-}
-
-// hostSilent is how long an aggregator with calls of ours may give no word on
-// any of them before others are preferred. A paused process keeps its links for
-// seconds; without this, calls go into it all the while.
-const hostSilent = 150 * clock.Milli(1)
-
-func (h *host) send(now clock.Milli) {
-	if h.flying == 0 {
-		h.since = now
-	}
-	h.flying++
-}
-
-// hostLeast is how many calls must be out for silence to mean anything: a few
-// may all be at leafs that are slow.
-const hostLeast = 4
-
-// silent tells whether a host seems to stand still.
-func (h *host) silent(now clock.Milli) bool {
-	return h.flying >= hostLeast && now-max(h.heard, h.since) > hostSilent+clock.Milli(h.rtt)
-}
-
 // Configure puts a configuration and a host list in force. Queries that run
 // keep their pin.
 func (e *Engine) Configure(cfg *invent.Config, hosts []invent.Host) {
@@ -308,59 +277,6 @@
 // Config returns the configuration in force, or nil.
 func (e *Engine) Config() *invent.Config { return e.cfg }
 
-// HostUp says that an aggregator is linked.
-func (e *Engine) HostUp(name string) {
-	e.init()
-	e.host(name).up = true
-}
-
-// HostLeaving says whether an aggregator is on its way out.
-func (e *Engine) HostLeaving(name string, leaving bool) {
-	e.init()
-	e.host(name).leaving = leaving
-}
-
-// HostRTT gives a measured round trip to an aggregator, in milliseconds.
-func (e *Engine) HostRTT(name string, rtt float64) {
-	e.init()
-	h := e.host(name)
-	if h.rtt == 0 {
-		h.rtt = rtt
-	}
-	h.rtt += (rtt - h.rtt) / 4
-}
-
-func (e *Engine) host(name string) *host {
-	h, ok := e.hosts[name]
-	if !ok {
-		h = &host{}
-		e.hosts[name] = h
-	}
-	return h
-}
-
-// HostDown says that the link to an aggregator is gone. What was sent over it
-// may have run.
-func (e *Engine) HostDown(now clock.Milli, name string) []Action {
-	e.init()
-	e.host(name).up = false
-	var lost []*attempt
-	for _, a := range e.attempts {
-		if a.host == name {
-			lost = append(lost, a)
-		}
-	}
-	sort.Slice(lost, func(i, j int) bool { return lost[i].id < lost[j].id })
-	var out []Action
-	for _, a := range lost {
-		out = append(out, e.Outcome(now, query.Outcome{Call: a.id, Kind: query.Unknown, Reason: query.ReasonUnreachable})...)
-	}
-	for _, s := range e.services {
-		s.dirty = true
-	}
-	return append(out, e.updatesHostDown(now, name)...)
-}
-
 // Feedback takes what an aggregator knows of a leaf.
 func (e *Engine) Feedback(fb query.Feedback) {
 	e.init()
@@ -380,152 +296,12 @@
 	f.fb, f.known = fb, true
 }
 
-func samePins(a, b []invent.Pin) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Strike takes a strike from another host and tells whether it was news.
 func (e *Engine) Strike(now clock.Milli, s poison.Strike) bool { return e.strikes.Merge(now, s) }
 
 // Strikes lists the requests refused now.
 func (e *Engine) Strikes(now clock.Milli) []poison.Strike { return e.strikes.Strikes(now) }
 
-// owner returns the aggregator to reach a leaf through: the first candidate
-// that is linked, answers and stays, or else one that is linked. The skip names
-// hosts that have refused already.
-func (e *Engine) owner(f *leaf, skip map[string]bool) string {
-	second := ""
-	for _, name := range f.owners {
-		h := e.hosts[name]
-		if h == nil || !h.up || skip[name] {
-			continue
-		}
-		if !h.leaving && !h.silent(e.now) {
-			return name
-		}
-		if second == "" {
-			second = name
-		}
-	}
-	return second
-}
-
-// usable tells whether a leaf may get new work for a pin.
-func (e *Engine) usable(f *leaf, pin invent.Pin) bool {
-	if f.out != query.ReasonNone || !f.known || f.fb.Closed || !holds(f, pin) {
-		return false
-	}
-	return e.owner(f, nil) != ""
-}
-
-func holds(f *leaf, pin invent.Pin) bool {
-	for _, p := range f.fb.Holds {
-		if p == pin {
-			return true
-		}
-	}
-	return false
-}
-
-// choosePin picks the newest snapshot that all shards have somewhere in reach,
-// or else the one that covers most. An answer rests on this one snapshot alone.
-func (e *Engine) choosePin(s *service) (invent.Pin, bool) {
-	if !s.dirty {
-		return s.pin, s.pinned
-	}
-	s.dirty = false
-	covered := map[invent.Pin]int{}
-	for layout, shards := range s.shards {
-		for _, replicas := range shards {
-			seen := map[invent.Pin]bool{}
-			for _, f := range replicas {
-				for _, p := range f.fb.Holds {
-					if p.Layout == layout && !seen[p] && e.usable(f, p) {
-						seen[p] = true
-						covered[p]++
-					}
-				}
-			}
-		}
-	}
-	s.pinned = false
-	var best float64
-	for p, n := range covered {
-		share := float64(n) / float64(len(s.shards[p.Layout]))
-		if !s.pinned || share > best || (share == best && s.pin.Less(p)) {
-			s.pin, s.pinned, best = p, true, share
-		}
-	}
-	return s.pin, s.pinned
-}
-
-// Pin returns the snapshot that a new query of a service would be pinned to.
-func (e *Engine) Pin(name string) (invent.Pin, bool) {
-	s := e.services[name]
-	if s == nil {
-		return invent.Pin{}, false
-	}
-	return e.choosePin(s)
-}
-
-// Reach tells, for a service's current pin, how many shards could be answered
-// now.
-func (e *Engine) Reach(name string) query.Coverage {
-	s := e.services[name]
-	if s == nil {
-		return query.Coverage{}
-	}
-	pin, ok := e.choosePin(s)
-	if !ok {
-		layout := s.Layouts[len(s.Layouts)-1]
-		c := query.Coverage{Shards: layout.Shards}
-		for i := range layout.Shards {
-			c.Missing = append(c.Missing, query.Missing{Shard: i, Reason: query.ReasonNoReplica})
-		}
-		return c
-	}
-	c := query.Coverage{Shards: len(s.shards[pin.Layout])}
-	for shard, replicas := range s.shards[pin.Layout] {
-		if e.anyUsable(replicas, pin) {
-			c.Answered++
-			continue
-		}
-		c.Missing = append(c.Missing, query.Missing{Shard: shard, Reason: e.whyNone(replicas)})
-	}
-	return c
-}
-
-func (e *Engine) anyUsable(replicas []*leaf, pin invent.Pin) bool {
-	for _, f := range replicas {
-		if e.usable(f, pin) {
-			return true
-		}
-	}
-	return false
-}
-
-// whyNone explains why no replica of a shard can be asked.
-func (e *Engine) whyNone(replicas []*leaf) query.Reason {
-	why := query.ReasonNoReplica
-	for _, f := range replicas {
-		switch {
-		case f.out != query.ReasonNone:
-			why = f.out
-		case e.owner(f, nil) == "":
-			return query.ReasonUnreachable
-		}
-	}
-	return why
-}
-
 // cancelActions lists cancellations by host, in order, so that runs repeat.
 func cancelActions(byHost map[string][]uint64) []Action {
 	names := make([]string, 0, len(byHost))
--- /dev/null
+++ b/share/fanout/pins.go
@@ -0,0 +1,126 @@
+package fanout
+
+import (
+	"dandelionstile/share/invent"
+	"dandelionstile/share/query"
+)
+
+func samePins(a, b []invent.Pin) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// usable tells whether a leaf may get new work for a pin.
+func (e *Engine) usable(f *leaf, pin invent.Pin) bool {
+	if f.out != query.ReasonNone || !f.known || f.fb.Closed || !holds(f, pin) {
+		return false
+	}
+	return e.owner(f, nil) != ""
+}
+
+func holds(f *leaf, pin invent.Pin) bool {
+	for _, p := range f.fb.Holds {
+		if p == pin {
+			return true
+		}
+	}
+	return false
+}
+
+// choosePin picks the newest snapshot that all shards have somewhere in reach,
+// or else the one that covers most. An answer rests on this one snapshot alone.
+func (e *Engine) choosePin(s *service) (invent.Pin, bool) {
+	if !s.dirty {
+		return s.pin, s.pinned
+	}
+	s.dirty = false
+	covered := map[invent.Pin]int{}
+	for layout, shards := range s.shards {
+		for _, replicas := range shards {
+			seen := map[invent.Pin]bool{}
+			for _, f := range replicas {
+				for _, p := range f.fb.Holds {
+					if p.Layout == layout && !seen[p] && e.usable(f, p) {
+						seen[p] = true
+						covered[p]++
+					}
+				}
+			}
+		}
+	}
+	s.pinned = false
+	var best float64
+	for p, n := range covered {
+		share := float64(n) / float64(len(s.shards[p.Layout]))
+		if !s.pinned || share > best || (share == best && s.pin.Less(p)) {
+			s.pin, s.pinned, best = p, true, share
+		}
+	}
+	return s.pin, s.pinned
+}
+
+// Pin returns the snapshot that a new query of a service would be pinned to.
+func (e *Engine) Pin(name string) (invent.Pin, bool) {
+	s := e.services[name]
+	if s == nil {
+		return invent.Pin{}, false
+	}
+	return e.choosePin(s)
+}
+
+// Reach tells, for a service's current pin, how many shards could be answered
+// now.
+func (e *Engine) Reach(name string) query.Coverage {
+	s := e.services[name]
+	if s == nil {
+		return query.Coverage{}
+	}
+	pin, ok := e.choosePin(s)
+	if !ok {
+		layout := s.Layouts[len(s.Layouts)-1]
+		c := query.Coverage{Shards: layout.Shards}
+		for i := range layout.Shards {
+			c.Missing = append(c.Missing, query.Missing{Shard: i, Reason: query.ReasonNoReplica})
+		}
+		return c
+	}
+	c := query.Coverage{Shards: len(s.shards[pin.Layout])}
+	for shard, replicas := range s.shards[pin.Layout] {
+		if e.anyUsable(replicas, pin) {
+			c.Answered++
+			continue
+		}
+		c.Missing = append(c.Missing, query.Missing{Shard: shard, Reason: e.whyNone(replicas)})
+	}
+	return c
+}
+
+func (e *Engine) anyUsable(replicas []*leaf, pin invent.Pin) bool {
+	for _, f := range replicas {
+		if e.usable(f, pin) {
+			return true
+		}
+	}
+	return false
+}
+
+// whyNone explains why no replica of a shard can be asked.
+func (e *Engine) whyNone(replicas []*leaf) query.Reason {
+	why := query.ReasonNoReplica
+	for _, f := range replicas {
+		switch {
+		case f.out != query.ReasonNone:
+			why = f.out
+		case e.owner(f, nil) == "":
+			return query.ReasonUnreachable
+		}
+	}
+	return why
+}
--- /dev/null
+++ b/share/node/versions.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"dandelionstile/share/clock"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/place"
+	"dandelionstile/share/spread"
+	"dandelionstile/share/wire"
+)
+
+// check decides whether a version is valid. It looks at the set alone.
+func (n *Node) check(key string, s *spread.Set) error {
+	if key == KeyConfig {
+		var err error
+		n.checked, err = n.parser.Parse(s.Version, configParts(s))
+		return err
+	}
+	var err error
+	n.checkedHosts, err = Hosts(s)
+	return err
+}
+
+func (n *Node) act(now clock.Milli, actions []spread.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case spread.SendPull:
+			n.sendTo(a.Peer, pullTo(a))
+		case spread.SendDelta:
+			n.sendTo(a.Peer, deltaTo(a.Delta))
+		case spread.SendStamps:
+			n.sendTo(a.Peer, stampsTo(a.Stamps))
+		case spread.ReadPlatform:
+			n.reads.Go(func() {
+				set, err := n.platform.read(a)
+				n.Post(PlatformRead{spread.Read{Key: a.Key, Set: set, Err: err}})
+			})
+		case spread.Refuse:
+			n.noteRefused(a)
+			n.Log.Error().Err(a.Err).Str("key", a.Key).Uint64("version", a.Stamp.Version).
+				Msg("version is invalid and was refused; the former stays in force")
+		case spread.Adopt:
+			n.adopt(now, a)
+		}
+	}
+}
+
+func (n *Node) sendTo(name string, m *wire.Envelope) {
+	for _, p := range n.peers {
+		if p.name == name {
+			n.Send(p.link, m)
+		}
+	}
+}
+
+func (n *Node) adopt(now clock.Milli, a spread.Adopt) {
+	n.Log.Info().Str("key", a.Key).Uint64("version", a.Stamp.Version).Msg("version in force")
+	if a.Key == KeyConfig {
+		n.cfg = n.checked // the check before this adoption read it
+		n.engine.Want(wanted(n.cfg))
+	} else {
+		n.byKey[a.Key] = n.checkedHosts // the check before this adoption read them
+		n.hosts = n.allHosts()
+		n.engine.Rank = n.rank()
+	}
+	n.configure(now)
+	if n.confirm != 0 {
+		for _, p := range n.sorted() {
+			n.beat(now, p, true)
+		}
+	}
+}
+
+// wanted lists the host lists that a configuration calls for.
+func wanted(cfg *invent.Config) []string {
+	keys := make([]string, len(cfg.Inventory.Domains))
+	for i, d := range cfg.Inventory.Domains {
+		keys[i] = KeyHosts + d.Name
+	}
+	return keys
+}
+
+// allHosts joins the host lists of all failure domains.
+func (n *Node) allHosts() []invent.Host {
+	var all []invent.Host
+	for _, key := range n.engine.HeldKeys() {
+		all = append(all, n.byKey[key]...)
+	}
+	return all
+}
+
+// rank is this host's place among the aggregators of its failure domain that
+// may watch the platform. Every host computes the same order by itself.
+func (n *Node) rank() int {
+	if n.Program != Aggregator {
+		return -1
+	}
+	for i, h := range place.Owners(n.hosts, n.Settings.Host.Domain, "watch", len(n.hosts)) {
+		if h.Name == n.Settings.Host.Name {
+			return i
+		}
+	}
+	return -1
+}
+
+// configure tells the program what is in force. Hosts that say themselves that
+// they leave count as leaving before the host list says so.
+func (n *Node) configure(now clock.Milli) {
+	if n.cfg == nil || len(n.hosts) == 0 {
+		return
+	}
+	gone := map[string]bool{}
+	for _, p := range n.peers {
+		if p.leaving && p.link.Peer.GetProgram() == Aggregator {
+			gone[p.link.Peer.GetHost()] = true
+		}
+	}
+	if n.leaving && n.Program == Aggregator {
+		gone[n.Settings.Host.Name] = true
+	}
+	hosts := append([]invent.Host(nil), n.hosts...)
+	for i := range hosts {
+		hosts[i].Leaving = hosts[i].Leaving || gone[hosts[i].Name]
+	}
+	n.Owner.Configure(now, n.cfg, hosts)
+	n.redial(hosts)
+}
+
+func (n *Node) redial(hosts []invent.Host) {
+	want := map[string]bool{}
+	for _, addr := range n.Owner.Dials(n.cfg, hosts) {
+		if addr != n.Settings.Listen.Links {
+			want[addr] = true
+		}
+	}
+	for addr := range want {
+		if !n.dialed[addr] {
+			n.mesh.Dial(addr)
+		}
+	}
+	for addr := range n.dialed {
+		if !want[addr] && !n.seed(addr) {
+			n.mesh.Hangup(addr)
+		}
+	}
+	for _, addr := range n.Settings.Peers {
+		want[addr] = true
+	}
+	n.dialed = want
+}
+
+func (n *Node) seed(addr string) bool {
+	for _, s := range n.Settings.Peers {
+		if s == addr {
+			return true
+		}
+	}
+	return false
+}
