http: fail at once when an address is in use

Ruled out: a second signal, a slow shutdown (its log ends before 'started'). The socket is now opened first; TestAddressInUseIsAnError hung before and passes.

--- a/fakes/lab/lab.go
+++ b/fakes/lab/lab.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +39,10 @@
 	platform string
 }
 
+// labs counts the labs of this process. Each has addresses of its own: a port
+// that is found free may be taken by another lab before it is used.
+var labs atomic.Int64
+
 // Host is one entry host with its two programs.
 type Host struct {
 	Name   string
@@ -84,10 +89,11 @@
 		l.Specs[i].Address = addr
 		l.Servers[l.Specs[i].Name] = s
 	}
+	subnet := 1 + labs.Add(1)%250
 	for i := range l.Layout.Hosts {
 		h := &Host{
 			Name: fmt.Sprintf("host-%d", i), Domain: l.Layout.Domains[i%len(l.Layout.Domains)],
-			IP: fmt.Sprintf("127.0.0.%d", 10+i),
+			IP: fmt.Sprintf("127.0.%d.%d", subnet, 10+i),
 		}
 		if err := l.place(h); err != nil {
 			return err
@@ -283,7 +289,7 @@
 			n++
 			go func() {
 				p.Signal(syscall.SIGCONT)
-				results <- ended{h.Name, p.Stop()}
+				results <- ended{h.Name + " " + filepath.Base(p.cmd.Path), p.Stop()}
 			}()
 		}
 	}
--- a/fakes/lab/lab_test.go
+++ b/fakes/lab/lab_test.go
@@ -74,11 +74,12 @@
 	assert.NilError(t, l.Start())
 	c := NewClient(15 * time.Second)
 	t.Cleanup(func() {
-		assert.NilError(t, c.Close())
-		assert.NilError(t, l.Close())
-		if t.Failed() {
+		err := l.Close()
+		if err != nil || t.Failed() {
 			keepLogs(t, l.Dir)
 		}
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
 	})
 	awaitReady(t, l, c)
 	return l, c
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -56,28 +56,29 @@
 	active  sync.WaitGroup
 }
 
-// Start listens and serves.
+// Start listens and serves. The socket is opened before the engine starts: an
+// engine that finds its address in use stops itself before its event loops have
+// begun, and then never returns, so a daemon would neither run nor fail.
 func (s *Server) Start() error {
 	conns := s.MaxConns
 	if conns == 0 {
 		conns = defaultConns
 	}
+	ln, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.Address)
+	}
+	s.addr = ln.Addr()
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name: "httpd", Network: "tcp", Addrs: []string{s.Address},
+		Name: "httpd", Network: "tcp", Addrs: []string{s.addr.String()},
 		MaxLoad: conns, MaxHTTPBodySize: hardBody, ReadLimit: readLimit,
-		KeepaliveTime: idleTime, WriteTimeout: writeTimeout, NPoller: 2,
+		KeepaliveTime: idleTime, WriteTimeout: writeTimeout, NPoller: 2, NListener: 1,
 		MessageHandlerPoolSize: handlersAtAll,
 		Handler:                http.HandlerFunc(s.serve),
-		Listen: func(network, addr string) (net.Listener, error) {
-			ln, err := net.Listen(network, addr)
-			if err == nil {
-				s.addr = ln.Addr()
-			}
-			return ln, err
-		},
+		Listen:                 func(string, string) (net.Listener, error) { return ln, nil },
 	})
 	s.started = time.Now()
-	return errors.Wrapf(s.engine.Start(), "listen on %s", s.Address)
+	return errors.Wrapf(s.engine.Start(), "serve on %s", s.Address)
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
