--- a/aggregator/core/core.go
+++ b/aggregator/core/core.go
@@ -62,6 +62,7 @@
 
 // Messages of the control loop besides the node's and the pool's.
 type (
+	begin  struct{ done chan error }
 	tick   struct{}
 	leave  struct{ done chan struct{} }
 	refuse struct{}
@@ -85,11 +86,14 @@
 	}
 	c.gate = gate.Engine{Self: c.Settings.Host.Name, Domain: c.Settings.Host.Domain}
 	c.node = node.Node{
-		Settings: c.Settings, Program: node.Aggregator, Incarnation: node.NewIncarnation(), Log: c.Log,
+		Settings: c.Settings, Program: node.Aggregator, Incarnation: node.NewIncarnation(), Log: c.Log, Meter: c.Meter,
 		Owner: owner{c}, HTTP: &c.http, Post: func(m node.Message) bool { return c.loop.Post(m) },
 	}
 	c.loop.Start(c.handle)
-	if err := c.node.Start(); err != nil {
+	// In the loop, since links may come up while the node still starts.
+	first := begin{done: make(chan error, 1)}
+	c.loop.Post(first)
+	if err := <-first.done; err != nil {
 		return err
 	}
 	c.loop.Every(tickEvery, tick{})
@@ -110,6 +114,8 @@
 	case leafs.Closed:
 		c.pool.Shut(m.Conn)
 		c.act(now, c.gate.Closed(now, m.Leaf, m.Conn))
+	case begin:
+		m.done <- c.node.Start()
 	case tick:
 		c.tick(now)
 	case leave:
--- a/entry/core/core.go
+++ b/entry/core/core.go
@@ -126,11 +126,12 @@
 	}
 	c.fan.Incarnate(incarnation)
 	c.node = node.Node{
-		Settings: c.Settings, Program: node.Entry, Incarnation: incarnation, Log: c.Log,
+		Settings: c.Settings, Program: node.Entry, Incarnation: incarnation, Log: c.Log, Meter: c.Meter,
 		Owner: owner{c}, HTTP: &c.http, Post: func(m node.Message) bool { return c.loop.Post(m) },
 	}
 	c.loop.Start(c.handle)
-	if err := c.node.Start(); err != nil {
+	// In the loop, since links may come up while the node still starts.
+	if err, _ := inLoop(c, func(clock.Milli) error { return c.node.Start() }); err != nil {
 		return err
 	}
 	c.loop.Every(tickEvery, tick{})
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"dandelionstile/share/clock"
 	"dandelionstile/share/fanout"
 	"dandelionstile/share/httpd"
+	"dandelionstile/share/meter"
 	"dandelionstile/share/query"
 	"dandelionstile/share/ticket"
 )
@@ -70,10 +72,24 @@
 			// The caller opens its next connection to a host that stays.
 			w.Header().Set("Connection", "close")
 		}
-		mux.ServeHTTP(w, r)
+		counted := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		mux.ServeHTTP(counted, r)
+		f.Core.Meter.Count("http_answers", 1, meter.Label{Name: "status", Value: strconv.Itoa(counted.status)})
 	})
 }
 
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader is as http.ResponseWriter has it.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // wireError is the body of every refusal.
 type wireError struct {
 	Error      string `json:"error"`
--- a/share/mesh/mesh.go
+++ b/share/mesh/mesh.go
@@ -418,7 +418,7 @@
 	for {
 		m := &wire.Envelope{}
 		if err := unmarshal(s.r, m); err != nil {
-			l.Fail(errors.Wrap(err, "read from peer"))
+			l.Fail(readFault(err))
 			return
 		}
 		if m.Body == nil {
@@ -430,6 +430,18 @@
 	}
 }
 
+// readFault tells a peer that ended, or whose connection broke, from one that
+// sent what cannot be read.
+func readFault(err error) error {
+	var ne net.Error
+	ended := errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, yamux.ErrSessionShutdown, yamux.ErrStreamClosed,
+		yamux.ErrConnectionReset, yamux.ErrStreamsExhausted)
+	if ended || errors.As(err, &ne) {
+		return errors.Wrap(err, "read from peer")
+	}
+	return errors.Mark(errors.Wrap(err, "read from peer"), ErrProtocol)
+}
+
 // ping measures the way to the peer and closes a link that went silent, as
 // happens when something in between has lost track of the connection: without
 // it, calls would go into the void until TCP gives up, minutes later.
--- a/share/mesh/mesh_test.go
+++ b/share/mesh/mesh_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"gotest.tools/v3/assert"
@@ -20,6 +21,7 @@
 	mu     sync.Mutex
 	up     []*Link
 	down   int
+	why    error
 	frames []*wire.Envelope
 }
 
@@ -35,10 +37,11 @@
 	r.frames = append(r.frames, m)
 }
 
-func (r *recorder) Down(*Link, error) {
+func (r *recorder) Down(_ *Link, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.down++
+	r.why = err
 }
 
 func (r *recorder) RTT(*Link, time.Duration) {}
@@ -109,6 +112,7 @@
 	big := &wire.Envelope{Body: &wire.Envelope_Delta{Delta: &wire.Delta{Packed: make([]byte, MaxFrame+1)}}}
 	assert.NilError(t, client.up[0].Send(big))
 	server.await(t, "link down", func(_, down, frames int) bool { return down == 1 && frames == 0 })
+	assert.Assert(t, errors.Is(server.why, ErrProtocol), "%v", server.why)
 }
 
 func FuzzFrame(f *testing.F) {
--- a/share/node/node.go
+++ b/share/node/node.go
@@ -10,12 +10,14 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/fetch"
 	"dandelionstile/share/invent"
 	"dandelionstile/share/mesh"
+	"dandelionstile/share/meter"
 	"dandelionstile/share/poison"
 	"dandelionstile/share/show"
 	"dandelionstile/share/spread"
@@ -103,6 +105,7 @@
 	Program     string
 	Incarnation uint64
 	Log         zerolog.Logger
+	Meter       *meter.Meter
 	Owner       Program
 	// Post hands a message to the control loop.
 	Post func(Message) bool
@@ -204,6 +207,7 @@
 		n.Owner.RTT(now, m.Link, m.Trip)
 	case PlatformRead:
 		if m.Read.Err != nil {
+			n.Meter.Count("platform_read_failures", 1)
 			n.Log.Warn().Err(m.Read.Err).Str("key", m.Read.Key).Msg("platform read failed")
 		}
 		n.act(now, n.engine.Platform(now, m.Read))
@@ -225,6 +229,7 @@
 		return
 	}
 	delete(n.peers, m.Link.ID)
+	n.Meter.Count("links_lost", 1, meter.Label{Name: "cause", Value: lossOf(m.Err)})
 	n.Log.Info().Str("peer", p.name).AnErr("cause", m.Err).Msg("link down")
 	n.act(now, n.engine.PeerGone(now, p.name))
 	for id := range n.strikes {
@@ -233,6 +238,21 @@
 	n.Owner.LinkDown(now, m.Link, m.Err)
 }
 
+// lossOf maps why a link was lost to one of a few words.
+func lossOf(err error) string {
+	switch {
+	case errors.Is(err, mesh.ErrProtocol):
+		return "protocol"
+	case errors.Is(err, mesh.ErrSilent):
+		return "silent"
+	case errors.Is(err, mesh.ErrBusy):
+		return "busy"
+	case errors.Is(err, mesh.ErrClosed):
+		return "closed-here"
+	}
+	return "closed-there"
+}
+
 func (n *Node) frame(now clock.Milli, l *mesh.Link, m *wire.Envelope) {
 	p := n.peers[l.ID]
 	if p == nil {
