share: say once what stood twice, and drop what nothing calls

No change of behaviour. Comparing pins stood in fanout and gate, and sorted map keys and searches were written out by hand: the standard library's slices and maps serve both. Both programs' Close combine errors as the rest does.

--- a/aggregator/core/core.go
+++ b/aggregator/core/core.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 
@@ -285,17 +286,9 @@
 
 // Close ends everything that Start began, and waits.
 func (c *Core) Close() error {
-	err := c.pool.Close()
-	if e := c.http.Close(); err == nil {
-		err = e
-	}
-	if e := c.node.Close(); err == nil {
-		err = e
-	}
-	if e := c.loop.Close(); err == nil {
-		err = e
-	}
-	return err
+	err := errors.CombineErrors(c.pool.Close(), c.http.Close())
+	err = errors.CombineErrors(err, c.node.Close())
+	return errors.CombineErrors(err, c.loop.Close())
 }
 
 // owner is what the node tells its program; see node.Program.
--- a/entry/core/core.go
+++ b/entry/core/core.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/attribute"
 
@@ -426,14 +427,8 @@
 
 // Close ends everything that Start began, and waits.
 func (c *Core) Close() error {
-	err := c.http.Close()
-	if e := c.node.Close(); err == nil {
-		err = e
-	}
-	if e := c.loop.Close(); err == nil {
-		err = e
-	}
-	return err
+	err := errors.CombineErrors(c.http.Close(), c.node.Close())
+	return errors.CombineErrors(err, c.loop.Close())
 }
 
 // owner is what the node tells its program; see node.Program.
--- a/share/fanout/answer.go
+++ b/share/fanout/answer.go
@@ -73,14 +73,3 @@
 	q.service.door.leave(now, q.Caller, c)
 	delete(e.queries, q.ID)
 }
-
-// Abandon gives up on a query whose caller is gone.
-func (e *Engine) Abandon(now clock.Milli, id uint64) []Action {
-	q := e.queries[id]
-	if q == nil {
-		return nil
-	}
-	out := e.cancelAll(q)
-	e.forget(now, q, query.Coverage{})
-	return out
-}
--- a/share/fanout/engine.go
+++ b/share/fanout/engine.go
@@ -6,8 +6,9 @@
 package fanout
 
 import (
+	"maps"
 	"math/rand/v2"
-	"sort"
+	"slices"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/invent"
@@ -290,7 +291,7 @@
 		}
 		return
 	}
-	if !f.known || f.fb.Closed != fb.Closed || !samePins(f.fb.Holds, fb.Holds) {
+	if !f.known || f.fb.Closed != fb.Closed || !slices.Equal(f.fb.Holds, fb.Holds) {
 		f.service.dirty = true
 	}
 	f.fb, f.known = fb, true
@@ -304,15 +305,10 @@
 
 // cancelActions lists cancellations by host, in order, so that runs repeat.
 func cancelActions(byHost map[string][]uint64) []Action {
-	names := make([]string, 0, len(byHost))
-	for h := range byHost {
-		names = append(names, h)
-	}
-	sort.Strings(names)
-	out := make([]Action, 0, len(names))
-	for _, h := range names {
+	out := make([]Action, 0, len(byHost))
+	for _, h := range slices.Sorted(maps.Keys(byHost)) {
 		ids := byHost[h]
-		sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+		slices.Sort(ids)
 		out = append(out, CancelCalls{Host: h, Calls: ids})
 	}
 	return out
--- a/share/fanout/pins.go
+++ b/share/fanout/pins.go
@@ -1,39 +1,20 @@
 package fanout
 
 import (
+	"slices"
+
 	"dandelionstile/share/invent"
 	"dandelionstile/share/query"
 )
 
-func samePins(a, b []invent.Pin) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // usable tells whether a leaf may get new work for a pin.
 func (e *Engine) usable(f *leaf, pin invent.Pin) bool {
-	if f.out != query.ReasonNone || !f.known || f.fb.Closed || !holds(f, pin) {
+	if f.out != query.ReasonNone || !f.known || f.fb.Closed || !slices.Contains(f.fb.Holds, pin) {
 		return false
 	}
 	return e.owner(f, nil) != ""
 }
 
-func holds(f *leaf, pin invent.Pin) bool {
-	for _, p := range f.fb.Holds {
-		if p == pin {
-			return true
-		}
-	}
-	return false
-}
-
 // choosePin picks the newest snapshot that all shards have somewhere in reach,
 // or else the one that covers most. An answer rests on this one snapshot alone.
 func (e *Engine) choosePin(s *service) (invent.Pin, bool) {
--- a/share/gate/health.go
+++ b/share/gate/health.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"slices"
+
 	"dandelionstile/share/clock"
 	"dandelionstile/share/invent"
 	"dandelionstile/share/query"
@@ -323,7 +325,7 @@
 	}
 	fb := e.feedback(now, f)
 	old := f.feeding
-	if fb.Closed == old.Closed && fb.Limit == old.Limit && samePins(fb.Holds, old.Holds) && old.Leaf != "" {
+	if fb.Closed == old.Closed && fb.Limit == old.Limit && slices.Equal(fb.Holds, old.Holds) && old.Leaf != "" {
 		return nil
 	}
 	f.feeding = fb
@@ -345,15 +347,3 @@
 		Holds: f.holds, Closed: f.shut() != query.ReasonNone, Pace: f.health.pace.at(now, e.usualOf(f)),
 	}
 }
-
-func samePins(a, b []invent.Pin) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/share/gate/lease.go
+++ b/share/gate/lease.go
@@ -1,7 +1,8 @@
 package gate
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"dandelionstile/share/clock"
 )
@@ -137,7 +138,7 @@
 		byHost[host] = appendAge(byHost[host], now, f)
 	}
 	var out []Action
-	for _, h := range sortedHosts(byHost) {
+	for _, h := range slices.Sorted(maps.Keys(byHost)) {
 		l.last++
 		l.claims[l.last] = now
 		out = append(out, Claim{Host: h, ID: l.last, Servers: byHost[h]})
@@ -230,15 +231,6 @@
 	return out
 }
 
-func sortedHosts(byHost map[string][]ServerAges) []string {
-	hosts := make([]string, 0, len(byHost))
-	for h := range byHost {
-		hosts = append(hosts, h)
-	}
-	sort.Strings(hosts)
-	return hosts
-}
-
 // handOver tells the other candidate what waited for this host's work at a
 // server to end: a promise, or that the server is given up.
 func (e *Engine) handOver(now clock.Milli, server string) []Action {
--- a/share/gate/state.go
+++ b/share/gate/state.go
@@ -61,19 +61,18 @@
 
 // LeafState is a leaf as operators see it.
 type LeafState struct {
-	Leaf       string
-	Server     string
-	Service    string
-	Primary    bool
-	Exclusive  bool
-	Busy       int
-	Queued     int
-	Limit      int
-	Slots      int
-	Conns      int
-	RampLeft   clock.Milli
-	Closed     query.Reason
-	Incarnates uint64
+	Leaf      string
+	Server    string
+	Service   string
+	Primary   bool
+	Exclusive bool
+	Busy      int
+	Queued    int
+	Limit     int
+	Slots     int
+	Conns     int
+	RampLeft  clock.Milli
+	Closed    query.Reason
 }
 
 // State lists all leafs by name.
@@ -85,7 +84,7 @@
 			Primary: f.rank == 0, Exclusive: e.leases.exclusive(now, f.server),
 			Busy: f.busy, Queued: len(f.queue), Limit: e.limit(now, f), Slots: f.cap,
 			Conns: len(f.conns), RampLeft: f.ramp.left(now, f.warm),
-			Closed: e.closed(now, f), Incarnates: f.health.incarnation,
+			Closed: e.closed(now, f),
 		})
 	}
 	return list
--- a/share/invent/invent.go
+++ b/share/invent/invent.go
@@ -3,7 +3,11 @@
 // checks both and decides nothing.
 package invent
 
-import "dandelionstile/share/clock"
+import (
+	"slices"
+
+	"dandelionstile/share/clock"
+)
 
 // Pin names one snapshot of a service's index. The layout is the generation of
 // the partition map: an index built for one layout cannot be merged with
@@ -136,12 +140,7 @@
 
 // DomainOut tells whether operators have taken a failure domain out.
 func (c *Config) DomainOut(domain string) bool {
-	for _, d := range c.Rules.DomainsOut {
-		if d == domain {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.Rules.DomainsOut, domain)
 }
 
 // CarryRules returns the carry rules by backend server.
@@ -153,17 +152,6 @@
 	return rules
 }
 
-// MayRepeat tells whether an operation is idempotent, that is, not listed under
-// never-repeat.
-func (c *Config) MayRepeat(service, operation string) bool {
-	for _, n := range c.Rules.NeverRepeat {
-		if n.Service == service && n.Operation == operation {
-			return false
-		}
-	}
-	return true
-}
-
 // Service returns a service by name.
 func (c *Config) Service(name string) (Service, bool) {
 	for _, s := range c.Inventory.Services {
--- a/share/query/query.go
+++ b/share/query/query.go
@@ -68,7 +68,6 @@
 	ReasonSnapshot    Reason = "snapshot-not-held"
 	ReasonForeign     Reason = "foreign-reply"
 	ReasonNoReplica   Reason = "no-replica"
-	ReasonBudget      Reason = "retry-budget"
 	ReasonOverload    Reason = "overload"
 	ReasonNotReady    Reason = "not-ready"
 	ReasonLeaving     Reason = "leaving"
--- a/share/spans/spans.go
+++ b/share/spans/spans.go
@@ -79,14 +79,6 @@
 	return carrier["traceparent"]
 }
 
-// Trace is the trace's id, or empty.
-func (s Span) Trace() string {
-	if s.span == nil {
-		return ""
-	}
-	return s.span.SpanContext().TraceID().String()
-}
-
 // Event adds a decision to the span.
 func (s Span) Event(name string, attrs ...attribute.KeyValue) {
 	if s.span != nil {
--- a/share/spread/set.go
+++ b/share/spread/set.go
@@ -41,6 +41,8 @@
 type Set struct {
 	Version uint64
 	Items   map[string][]byte
+
+	stamp Stamp // worked out once: it hashes every item
 }
 
 // NewSet builds a set from items; of two items with one name the later counts.
@@ -49,18 +51,22 @@
 	for _, it := range items {
 		s.Items[it.Name] = it.Body
 	}
-	return s
+	return s.seal()
 }
 
-// Stamp returns the version and a digest over all items, whatever their order.
-func (s *Set) Stamp() Stamp {
+// seal works out the stamp of a set whose items are complete.
+func (s *Set) seal() *Set {
 	var sum uint64
 	for name, body := range s.Items {
 		sum += itemHash(name, body)
 	}
-	return Stamp{Version: s.Version, Digest: sum}
+	s.stamp = Stamp{Version: s.Version, Digest: sum}
+	return s
 }
 
+// Stamp returns the version and a digest over all items, whatever their order.
+func (s *Set) Stamp() Stamp { return s.stamp }
+
 func itemHash(name string, body []byte) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -139,7 +145,7 @@
 	for _, name := range d.Removed {
 		delete(next.Items, name)
 	}
-	if next.Stamp() != d.To {
+	if next.seal().Stamp() != d.To {
 		return nil, ErrDelta
 	}
 	return next, nil
