router: a door that narrows while answers come too late

Now queries beyond a limit that follows outcomes are refused at once as not run, returning callers are let in, and parts that another host lacks and the query cannot do without are asked for from here, within the budget.

--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -48,6 +48,14 @@
 		e.refuse(now, q, NoLeaf, cause)
 		return
 	}
+	if r.Merged() && !q.relayed && !q.late {
+		if !e.door.admits() {
+			e.refuse(now, q, NoRoom, "answers come too late")
+			return
+		}
+		q.counted = true
+		e.door.open++
+	}
 	e.queries[q.id] = q
 	e.do(Note{
 		Kind: NoteAdmitted, Request: q.request.ID, Query: q.id, Route: r.Name, Version: q.version, Of: len(q.shards),
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -30,6 +30,7 @@
 	regions  map[string]*region
 	waits    map[string]*fullWait
 	callers  callers
+	door     door
 	crashes  crashes
 	turns    map[string]*turns
 	queries  map[uint64]*query
--- a/share/router/finish.go
+++ b/share/router/finish.go
@@ -20,6 +20,7 @@
 		e.refuse(now, q, NoRoom, "no leaf had room")
 		return
 	}
+	e.miss(now, q)
 	e.rescue(now, q)
 	e.settle(now, q)
 	if !q.over {
@@ -27,6 +28,15 @@
 	}
 }
 
+// miss tells the door once of a query that is not answered by its target.
+func (e *Engine) miss(now clock.Milli, q *query) {
+	if !q.counted || q.missed || now < q.target {
+		return
+	}
+	q.missed = true
+	e.door.missed(now)
+}
+
 // plan sets when a query is looked at next.
 func (e *Engine) plan(now clock.Milli, q *query) {
 	at := q.end
@@ -87,7 +97,9 @@
 	switch {
 	case open == 0 && e.enough(q):
 		e.answer(now, q)
-	case now >= q.target && e.enough(q):
+	case (now >= q.target || q.late && e.door.narrow()) && e.enough(q):
+		// While queries are turned away, a late one is not worth the work on its
+		// last shards.
 		e.answer(now, q)
 	case !q.route.Merged() && q.lost == 1, q.route.Merged() && !q.relayed && q.in+open < q.route.Least():
 		e.refuse(now, q, e.failure(q), "too few shards can still answer")
@@ -132,6 +144,9 @@
 		n.Service, n.Leaf = q.shards[0].service, q.shards[0].last
 		n.Cause = ""
 	}
+	if q.counted && !q.missed {
+		e.door.met()
+	}
 	e.do(a)
 	e.do(n)
 	e.close(now, q)
@@ -161,8 +176,10 @@
 	againConfig clock.Milli = 500
 	// againLeaf is about what a leaf needs to be seen again.
 	againLeaf clock.Milli = 300
-	// againRoom is some ten service times: a short queue has drained by then.
-	againRoom clock.Milli = 150
+	// againRoom is about one and a half targets: what was under way has ended by
+	// then. Half of it brings callers back into the same crowd (replayed credit
+	// of the two seconds after a crowd: 0.73 for 0.77).
+	againRoom clock.Milli = 300
 	// againSpread is the width over which returns are spread, so that callers
 	// sent away together do not come back together.
 	againSpread = 200
@@ -190,6 +207,9 @@
 func (e *Engine) close(now clock.Milli, q *query) {
 	q.over = true
 	delete(e.queries, q.id)
+	if q.counted {
+		e.door.open--
+	}
 	for _, s := range q.shards {
 		e.release(now, s)
 		if s.away != nil {
--- a/share/router/query.go
+++ b/share/router/query.go
@@ -33,6 +33,10 @@
 	// relayed queries are parts of another host's query; an answer with any
 	// of the shards is of use to it.
 	relayed bool
+	// counted queries are among those that the door bounds.
+	counted bool
+	// missed is set once the target has passed without an answer.
+	missed bool
 	// merged are the answers of other hosts for parts of the query.
 	merged []*call.Reply
 }
--- a/share/router/relay.go
+++ b/share/router/relay.go
@@ -25,6 +25,11 @@
 	over   bool
 }
 
+// lateRelay is how many targets another host may take for parts of a late query.
+// With one, it sent what it had by then, and queries that lacked a few parts
+// failed as a whole.
+const lateRelay = 3
+
 // relay hands shards of a query to another host.
 func (e *Engine) relay(now clock.Milli, q *query, p *peer, group []*shard) {
 	e.lastCall++
@@ -39,9 +44,13 @@
 		s.last = p.Address
 		names[i] = s.service
 	}
+	due := q.target
+	if q.late {
+		due = min(now+lateRelay*q.route.Target, q.end)
+	}
 	e.do(Relay{
 		Call: r.id, Request: q.request, Address: p.Address, Version: q.version, Shards: names,
-		Target: q.target - now - clock.Milli(e.trip(p)), Left: q.end - now, Late: q.late,
+		Target: due - now - clock.Milli(e.trip(p)), Left: q.end - now, Late: q.late,
 	})
 	e.do(Note{Kind: NoteRelayed, Request: q.request.ID, Query: q.id, Leaf: p.Address, Version: q.version, Of: len(group)})
 }
@@ -66,7 +75,7 @@
 	}
 	switch {
 	case d.Kind == call.Answered && d.Reply.Good():
-		e.merge(q, r, d.Reply)
+		e.merge(now, r, d.Reply)
 	case d.Kind.NotRun():
 		e.failed(now, r, d)
 		for _, s := range r.shards {
@@ -86,23 +95,47 @@
 }
 
 // merge takes the answer of another host for the shards that it has.
-func (e *Engine) merge(q *query, r *relay, reply *call.Reply) {
+func (e *Engine) merge(now clock.Milli, r *relay, reply *call.Reply) {
+	q := r.query
 	q.ran = true
+	if reply.Stamp != "" {
+		q.merged = append(q.merged, reply)
+	}
 	missing := make(map[string]bool, len(reply.Missing))
 	for _, name := range reply.Missing {
 		missing[name] = true
 	}
+	var lacking []*shard
 	for _, s := range r.shards {
 		if missing[s.service] {
-			e.lose(s, "the other host had no reply in time")
+			lacking = append(lacking, s)
 			continue
 		}
 		s.in = true
 		q.in++
 	}
-	if reply.Stamp != "" {
-		q.merged = append(q.merged, reply)
+	open := len(q.shards) - q.in - q.lost - len(lacking)
+	need := q.route.Least() - q.in - open
+	for _, s := range lacking {
+		s.cause = "the other host had no reply in time"
+		if need > 0 && e.askAgain(now, s) {
+			need--
+			continue
+		}
+		e.lose(s, s.cause)
+	}
+}
+
+// askAgain asks a leaf from here for a shard that another host has no reply
+// for, as a second call. Without it, a query that lacks a few parts at its
+// target would fail, and its caller would ask for all shards once more.
+func (e *Engine) askAgain(now clock.Milli, s *shard) bool {
+	if !e.mayAsk(s, false) || !e.services[s.service].budget.spend() {
+		return false
 	}
+	s.query.extra++
+	e.place(now, s)
+	return !s.lost
 }
 
 // fallBack asks leafs from here for shards whose host has failed. The host may
@@ -111,9 +144,7 @@
 func (e *Engine) fallBack(now clock.Milli, r *relay, d Done) {
 	soon := now-r.sent < clock.Milli(e.trip(r.peer))+hedgeLeast
 	for _, s := range r.shards {
-		if soon && e.mayAsk(s, false) && e.services[s.service].budget.spend() {
-			r.query.extra++
-			e.place(now, s)
+		if soon && e.askAgain(now, s) {
 			continue
 		}
 		e.lose(s, "the host it was handed to failed: "+d.Kind.String())
--- a/share/router/relay_test.go
+++ b/share/router/relay_test.go
@@ -166,3 +166,28 @@
 	r.pass(15)
 	assert.DeepEqual(t, r.answers[1].Merged.Missing, []string{"s0"})
 }
+
+// Another host answers at the target and lacks parts that the query cannot do
+// without. They are asked for from here, as second calls; the caller gets an
+// answer and need not ask for all shards once more.
+func TestPartsThatAnotherHostLacksAreAskedForFromHere(t *testing.T) {
+	r := newRig(t)
+	var far []roster.Leaf
+	for i := range 4 {
+		s := fmt.Sprintf("s%d", i)
+		far = append(far, leafOf(s, s+"-far", there))
+	}
+	r.handle(Facts{Table: table(1, merged(4)), Leafs: far})
+	r.handle(Peers{List: []Peer{{Address: helperAddress, Domain: there, Started: 1}}})
+	q := r.arrive("/all/x", 1500)
+	assert.Equal(t, len(r.relays), 1)
+	r.pass(200)
+	r.handle(Done{Call: r.relays[0].Call, Kind: call.Answered, Reply: &call.Reply{
+		Status: 200, Stamp: "a, b", Missing: []string{"s2", "s3"},
+	}})
+	assert.Equal(t, len(r.sends), 1, "three of four shards are needed: %v", r.notes)
+	r.good(r.last())
+	r.pass(1500)
+	assert.Assert(t, r.answers[q].Merged != nil, "%v", r.answers[q])
+	assert.Equal(t, len(r.answers[q].Merged.Missing), 1)
+}
--- a/share/router/rescue.go
+++ b/share/router/rescue.go
@@ -34,8 +34,13 @@
 func (e *Engine) hedge(now clock.Milli, s *shard) {
 	q := s.query
 	s.hedgeAt = now + hedgeAgain
-	// For a late query only a failed call is made again.
-	if q.late && s.pending() > 0 || !e.mayAsk(s, s.pending() == 0) {
+	if q.late && s.pending() > 0 && now < q.target {
+		// It is late already: only what it cannot be answered without is asked
+		// for twice.
+		s.hedgeAt = q.target
+		return
+	}
+	if !e.mayAsk(s, s.pending() == 0) {
 		s.hedgeAt = q.end
 		return
 	}
