httpd, tier: operators' limits on requests hold, with an answer

Cause: a request that stops half-way was waited for as long as an idle connection, two minutes. A body of more than 64 KB that comes in pieces met the library's bound on unread bytes, and its connection was reset: bodies the operators allow (256 KB) failed, and larger ones got no 413. The operators' limits were decoded and not used.

Now each server counts what a request that is not whole has sent, and when: 408 after a pause, 413 beyond the limits while the caller still sends, 431, and idle connections closed after the operators' time; one log line and a counter each.

Ruled out: to count in handlers, which run only once a request is whole.

--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -102,3 +102,17 @@
 		}
 	})
 }
+
+// A caller sends three megabytes and is told that it is too much; it used to
+// find its connection closed without a word.
+func TestThreeMegabytesAreRefusedWithAnAnswer(t *testing.T) {
+	f := lonely(t)
+	f.Address = "127.0.0.1:0"
+	assert.NilError(t, f.Start())
+	defer func() { assert.NilError(t, f.server.Close()) }()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Post("http://"+f.Addr()+"/v1/query", "application/json", strings.NewReader(`{"text":"`+strings.Repeat("x", 3<<20)+`"}`))
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, res.Body.Close()) }()
+	assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
+}
--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -22,8 +22,16 @@
 	conn net.Conn
 	// requests counts those read and not answered yet.
 	requests int
-	// freed is when the last request's handler returned.
+	// freed is when the last request's handler returned, or the connection was
+	// opened.
 	freed time.Time
+	// begunAt is when the first byte of a request came that is not whole yet,
+	// and heardAt when the last did; bytes counts them.
+	begunAt, heardAt time.Time
+	bytes            int
+	// refusedAt is when a request that is not whole was refused; what follows on
+	// the connection is not read.
+	refusedAt time.Time
 }
 
 func (c *conns) opened(conn net.Conn) {
@@ -32,7 +40,7 @@
 	if c.open == nil {
 		c.open = map[string]*openConn{}
 	}
-	c.open[conn.RemoteAddr().String()] = &openConn{conn: conn}
+	c.open[conn.RemoteAddr().String()] = &openConn{conn: conn, freed: time.Now()}
 }
 
 func (c *conns) closed(conn net.Conn) {
@@ -49,9 +57,35 @@
 	defer c.mu.Unlock()
 	if o := c.open[remote]; o != nil {
 		o.requests++
+		o.begunAt = time.Time{}
+		o.bytes = 0
 	}
 }
 
+// heard records bytes of a request. It returns whether they are to be read, and
+// the status to refuse the request with if it has just become too large.
+func (c *conns) heard(remote string, n int, l Limits) (status int, read bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.open[remote]
+	if o == nil {
+		return 0, true
+	}
+	if !o.refusedAt.IsZero() {
+		return 0, false
+	}
+	if o.begunAt.IsZero() {
+		o.begunAt = now
+	}
+	o.heardAt = now
+	o.bytes += n
+	if status = l.tooMuch(o.bytes); status != 0 {
+		o.refusedAt = now
+	}
+	return status, status == 0
+}
+
 // release records that a request's handler has returned.
 func (c *conns) release(remote string) {
 	c.mu.Lock()
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -32,10 +34,14 @@
 	// DefaultMaxBody is the largest request body, in bytes.
 	DefaultMaxBody = 1 << 20
 	// hardBody is where the connection is cut instead of answered.
-	hardBody      = 8 << 20
-	defaultConns  = 10000
-	readLimit     = 64 << 10
-	idleTime      = 2 * time.Minute
+	hardBody     = 8 << 20
+	defaultConns = 10000
+	// readLimit is what the library keeps of a request that is not whole. Below
+	// the largest body it resets the connections of callers whose body comes in
+	// pieces.
+	readLimit = 2 * hardBody
+	// longestIdle is the library's own limit, beyond any of Limits.
+	longestIdle   = 10 * time.Minute
 	writeTimeout  = 10 * time.Second
 	handlersAtAll = 8192
 )
@@ -49,18 +55,23 @@
 	Address  string
 	Handler  http.Handler
 	MaxConns int
-	// Idle is how long a connection may wait for its next request; 0 takes two
-	// minutes.
-	Idle time.Duration
+	// Limits are in force until SetLimits replaces them.
+	Limits Limits
 	// Closed is told the remote address of each connection that has ended; it
 	// may be nil.
 	Closed func(remote string)
+	// Refused is told of each request outside the limits, which its handler does
+	// not see; it may be nil.
+	Refused func(remote string, status int)
 
 	engine  *nbhttp.Engine
 	addr    net.Addr
 	started time.Time
 	active  sync.WaitGroup
 	conns   conns
+	limits  atomic.Pointer[Limits]
+	stop    chan struct{}
+	swept   chan struct{}
 }
 
 // Start listens and serves. The socket is opened before the engine starts: an
@@ -71,10 +82,7 @@
 	if conns == 0 {
 		conns = defaultConns
 	}
-	idle := s.Idle
-	if idle == 0 {
-		idle = idleTime
-	}
+	s.SetLimits(s.Limits)
 	ln, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.Address)
@@ -82,14 +90,19 @@
 	s.addr = ln.Addr()
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "httpd", Network: "tcp", Addrs: []string{s.addr.String()},
-		MaxLoad: conns, MaxHTTPBodySize: hardBody, ReadLimit: readLimit,
-		KeepaliveTime: idle, WriteTimeout: writeTimeout, NPoller: 2, NListener: 1,
+		MaxLoad: conns, MaxHTTPBodySize: readLimit, ReadLimit: readLimit,
+		KeepaliveTime: longestIdle, WriteTimeout: writeTimeout, NPoller: 2, NListener: 1,
 		MessageHandlerPoolSize: handlersAtAll,
 		Handler:                http.HandlerFunc(s.serve),
 		// Called where the request is read, before its handler has a turn.
 		OnRequest: func(_ http.ResponseWriter, r *http.Request) { s.conns.take(r.RemoteAddr) },
 		Listen:    func(string, string) (net.Listener, error) { return ln, nil },
 	})
+	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
+		if s.read(c, len(data)) {
+			c.DataHandler()(c, data)
+		}
+	})
 	s.engine.OnOpen(s.conns.opened)
 	s.engine.OnClose(func(c net.Conn, _ error) {
 		s.conns.closed(c)
@@ -98,13 +111,70 @@
 		}
 	})
 	s.started = time.Now()
-	return errors.Wrapf(s.engine.Start(), "serve on %s", s.Address)
+	if err := s.engine.Start(); err != nil {
+		return errors.Wrapf(err, "serve on %s", s.Address)
+	}
+	s.stop, s.swept = make(chan struct{}), make(chan struct{})
+	go s.sweep()
+	return nil
+}
+
+// SetLimits puts other limits in force, for connections that are open too.
+func (s *Server) SetLimits(l Limits) {
+	l = l.filled()
+	s.limits.Store(&l)
+}
+
+// BodyLimit is the largest body in force, in bytes.
+func (s *Server) BodyLimit() int { return s.limits.Load().BodyBytes }
+
+func (s *Server) sweep() {
+	defer close(s.swept)
+	ticks := time.NewTicker(sweepEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case now := <-ticks.C:
+			for _, conn := range s.conns.sweep(*s.limits.Load(), now) {
+				s.refuse(conn, http.StatusRequestTimeout)
+			}
+		}
+	}
+}
+
+// read takes bytes into account and tells whether they are to be read.
+func (s *Server) read(conn net.Conn, n int) bool {
+	status, read := s.conns.heard(conn.RemoteAddr().String(), n, *s.limits.Load())
+	if status != 0 {
+		s.refuse(conn, status)
+	}
+	return read
+}
+
+// refuse answers a request that is not whole.
+func (s *Server) refuse(conn net.Conn, status int) {
+	s.tell(conn.RemoteAddr().String(), status)
+	_, _ = conn.Write(lastWords(status)) // a caller that is gone is no fault of ours
+}
+
+func (s *Server) tell(remote string, status int) {
+	if s.Refused != nil {
+		s.Refused(remote, status)
+	}
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Done()
 	defer s.conns.release(r.RemoteAddr)
+	if status := s.limits.Load().refusal(r); status != 0 {
+		s.tell(r.RemoteAddr, status)
+		w.Header().Set("Connection", "close")
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
@@ -126,6 +196,10 @@
 	if s.engine == nil {
 		return nil
 	}
+	if s.stop != nil {
+		close(s.stop)
+		<-s.swept
+	}
 	s.active.Wait()
 	time.Sleep(time.Until(s.started.Add(fetch.SettleTime)))
 	s.engine.Stop()
--- /dev/null
+++ b/share/httpd/limits.go
@@ -0,0 +1,140 @@
+package httpd
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Limits bound what a caller may send and how long it may take. A zero field
+// takes its default.
+type Limits struct {
+	// HeaderBytes and BodyBytes are the largest header and body of a request.
+	HeaderBytes, BodyBytes int
+	// Silence is how long a caller may pause within a request that it has begun.
+	Silence time.Duration
+	// Idle is how long a connection may wait for its next request.
+	Idle time.Duration
+}
+
+// Defaults of Limits.
+const (
+	defaultHeaderBytes = 64 << 10
+	defaultSilence     = 10 * time.Second
+	defaultIdle        = 2 * time.Minute
+)
+
+func (l Limits) filled() Limits {
+	if l.HeaderBytes == 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	if l.BodyBytes == 0 {
+		l.BodyBytes = hardBody
+	}
+	if l.Silence == 0 {
+		l.Silence = defaultSilence
+	}
+	if l.Idle == 0 {
+		l.Idle = defaultIdle
+	}
+	return l
+}
+
+const (
+	// slowest is how many times Silence a whole request may take: a caller that
+	// sends a byte now and then holds a connection, and memory, for no use.
+	slowest = 10
+	// sweepEvery is how often connections are looked at.
+	sweepEvery = 250 * time.Millisecond
+	// linger is how long a refused caller may go on sending before its
+	// connection is closed. Closed at once, with bytes unread, the connection
+	// would be reset and the caller would not see the answer.
+	linger = time.Second
+	// framing is what chunked bodies may add to the bytes of a request.
+	framing = 16 << 10
+)
+
+// tooMuch tells why the bytes of a request that is not whole yet are more than
+// any within the limits has; 0 if they are not.
+func (l Limits) tooMuch(bytes int) int {
+	if bytes > l.HeaderBytes+l.BodyBytes+l.BodyBytes/4+framing {
+		return http.StatusRequestEntityTooLarge
+	}
+	return 0
+}
+
+// refusal is the status that a whole request outside the limits gets; 0 for
+// none.
+func (l Limits) refusal(r *http.Request) int {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	switch {
+	case size > l.HeaderBytes:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case r.ContentLength > int64(l.BodyBytes):
+		return http.StatusRequestEntityTooLarge
+	}
+	return 0
+}
+
+// verdict is what a connection's state asks for at a time.
+type verdict int
+
+const (
+	keep verdict = iota
+	// closeNow ends a connection on which nothing is owed.
+	closeNow
+	// timeOut answers that the request did not come in time.
+	timeOut
+)
+
+// judge looks at one connection.
+func (l Limits) judge(o *openConn, now time.Time) verdict {
+	switch {
+	case o.requests > 0:
+		return keep
+	case !o.refusedAt.IsZero():
+		if now.Sub(o.refusedAt) > linger {
+			return closeNow
+		}
+	case !o.begunAt.IsZero():
+		if now.Sub(o.heardAt) > l.Silence || now.Sub(o.begunAt) > slowest*l.Silence {
+			return timeOut
+		}
+	case now.Sub(o.freed) > l.Idle:
+		return closeNow
+	}
+	return keep
+}
+
+// lastWords are answers that are written without a handler.
+func lastWords(status int) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+}
+
+// sweep closes connections that have rested too long, and returns those whose
+// request did not come in time.
+func (c *conns) sweep(l Limits, now time.Time) (late []net.Conn) {
+	var ended []net.Conn
+	c.mu.Lock()
+	for _, o := range c.open {
+		switch l.judge(o, now) {
+		case closeNow:
+			ended = append(ended, o.conn)
+		case timeOut:
+			o.refusedAt = now
+			late = append(late, o.conn)
+		case keep:
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range ended {
+		_ = conn.Close() // an error says only that the caller was faster
+	}
+	return late
+}
--- /dev/null
+++ b/share/httpd/limits_test.go
@@ -0,0 +1,161 @@
+package httpd
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// limited serves an echo with small limits and opens a connection to it.
+func limited(t *testing.T, l Limits) (*Server, net.Conn) {
+	t.Helper()
+	s := &Server{Address: "127.0.0.1:0", Limits: l, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		w.WriteHeader(http.StatusOK)
+		_, _ = w.Write(body)
+	})}
+	assert.NilError(t, s.Start())
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	t.Cleanup(func() {
+		_ = c.Close()
+		assert.NilError(t, s.Close())
+	})
+	return s, c
+}
+
+// status reads one answer and drops its body.
+func status(t *testing.T, c net.Conn) int {
+	t.Helper()
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, res.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	return res.StatusCode
+}
+
+// A caller sends half a request and then nothing. Six hundred like it would
+// hold their connections for good; it is told that its request did not come in
+// time, and the connection ends.
+func TestHalfSentRequestIsTimedOut(t *testing.T) {
+	_, c := limited(t, Limits{Silence: 300 * time.Millisecond})
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Le")
+	assert.NilError(t, err)
+	assert.Equal(t, status(t, c), http.StatusRequestTimeout)
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "EOF")
+}
+
+// A caller sends a byte now and then. No pause is over the limit, but the whole
+// request takes too long.
+func TestDrippingRequestIsTimedOut(t *testing.T) {
+	_, c := limited(t, Limits{Silence: 100 * time.Millisecond})
+	go func() {
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nX: ")
+		for err == nil {
+			time.Sleep(40 * time.Millisecond)
+			_, err = c.Write([]byte("x"))
+		}
+	}()
+	began := time.Now()
+	assert.Equal(t, status(t, c), http.StatusRequestTimeout)
+	assert.Assert(t, time.Since(began) < 10*time.Second)
+}
+
+// A slow caller whose pauses are within the limit is served.
+func TestSlowRequestIsServed(t *testing.T) {
+	_, c := limited(t, Limits{Silence: 400 * time.Millisecond})
+	for _, part := range []string{"POST / HTTP/1.1\r\nHost: h\r\n", "Content-Length: 4\r\n\r\n", "ab", "cd"} {
+		_, err := io.WriteString(c, part)
+		assert.NilError(t, err)
+		time.Sleep(200 * time.Millisecond)
+	}
+	assert.Equal(t, status(t, c), http.StatusOK)
+}
+
+// A caller sends three megabytes where one hundred kilobytes are allowed. It is
+// told so while it still sends; its connection was reset before, which told
+// nothing.
+func TestLargeBodyIsRefusedWithAnAnswer(t *testing.T) {
+	_, c := limited(t, Limits{BodyBytes: 100 << 10})
+	go func() {
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n")
+		if err == nil {
+			_, _ = c.Write(bytes.Repeat([]byte("x"), 3000000)) // the server may close before it is through
+		}
+	}()
+	assert.Equal(t, status(t, c), http.StatusRequestEntityTooLarge)
+}
+
+// The same in chunks, whose sum nobody has named.
+func TestLargeChunkedBodyIsRefusedWithAnAnswer(t *testing.T) {
+	_, c := limited(t, Limits{BodyBytes: 100 << 10})
+	go func() {
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := 0; i < 3000 && err == nil; i++ {
+			_, err = io.WriteString(c, "400\r\n"+strings.Repeat("x", 1024)+"\r\n")
+		}
+	}()
+	assert.Equal(t, status(t, c), http.StatusRequestEntityTooLarge)
+}
+
+// A body within the limit is taken whole, also one that comes in many pieces.
+func TestBodyWithinTheLimitIsTaken(t *testing.T) {
+	_, c := limited(t, Limits{BodyBytes: 256 << 10})
+	body := bytes.Repeat([]byte("0123456789abcdef"), 16<<10)
+	go func() {
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 262144\r\n\r\n")
+		for i := 0; i < len(body) && err == nil; i += 10000 {
+			_, err = c.Write(body[i:min(len(body), i+10000)])
+			time.Sleep(time.Millisecond)
+		}
+		assert.Check(t, err)
+	}()
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	got, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, body))
+}
+
+// A header over the limit is refused as such.
+func TestLargeHeaderIsRefused(t *testing.T) {
+	_, c := limited(t, Limits{HeaderBytes: 4 << 10})
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 8<<10)+"\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, status(t, c), http.StatusRequestHeaderFieldsTooLarge)
+}
+
+// A connection on which nothing comes is closed after its time, and not before:
+// callers use idle connections up to four fifths of it.
+func TestIdleConnectionIsClosedAfterItsTime(t *testing.T) {
+	_, c := limited(t, Limits{Idle: time.Second})
+	for range 2 {
+		time.Sleep(800 * time.Millisecond)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		assert.Equal(t, status(t, c), http.StatusOK)
+	}
+	_, err := c.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "EOF")
+}
+
+// Operators lower the limits while connections are open: they hold for those
+// too.
+func TestLimitsAreReplacedWhileOpen(t *testing.T) {
+	s, c := limited(t, Limits{})
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n")
+	assert.NilError(t, err)
+	s.SetLimits(Limits{Silence: 200 * time.Millisecond})
+	assert.Equal(t, status(t, c), http.StatusRequestTimeout)
+}
--- a/share/tier/callers.go
+++ b/share/tier/callers.go
@@ -131,6 +131,10 @@
 		t.text(w, http.StatusBadRequest, "the body cannot be read")
 		return
 	}
+	if limit := t.server.BodyLimit(); !a.Relayed && len(body) > limit {
+		t.text(w, http.StatusRequestEntityTooLarge, "the body is over "+strconv.Itoa(limit)+" bytes")
+		return
+	}
 	request := t.request(r, body)
 	if request.ID == "" {
 		t.text(w, http.StatusBadRequest, "the request has no "+t.Settings.Dialect.RequestID)
--- a/share/tier/notes.go
+++ b/share/tier/notes.go
@@ -1,6 +1,8 @@
 package tier
 
 import (
+	"strconv"
+
 	"github.com/rs/zerolog"
 
 	"dandelionstile/share/meter"
@@ -83,3 +85,9 @@
 	t.Meter.Count("leaf_calls", 1, domain, meter.Label{Name: "end", Value: c.Kind.String()})
 	t.Meter.Latency("leaf_call_time", c.Took.Duration(), domain)
 }
+
+// refusedUnread tells of a request outside the operators' limits.
+func (t *Tier) refusedUnread(remote string, status int) {
+	t.Log.Warn().Str("remote", remote).Int("status", status).Msg("request-outside-limits")
+	t.Meter.Count("outside_limits", 1, meter.Label{Name: "status", Value: strconv.Itoa(status)})
+}
--- a/share/tier/tier.go
+++ b/share/tier/tier.go
@@ -36,8 +36,6 @@
 	Regions map[string]string
 	Policy  router.Policy
 	Dialect hop.Dialect
-	// Idle is how long callers' connections may be idle.
-	Idle clock.Milli
 }
 
 // Tier is a running host. The exported fields are set before Start.
@@ -82,7 +80,7 @@
 	t.pool = hop.Pool{Dialect: t.Settings.Dialect, Source: t.Settings.Source, Clock: t.Clock, Report: t.report, Probed: t.probed}
 	t.server = httpd.Server{
 		Address: t.Settings.Callers, Handler: http.HandlerFunc(t.serve),
-		Idle: t.Settings.Idle.Duration(), Closed: t.callerClosed,
+		Closed: t.callerClosed, Refused: t.refusedUnread,
 	}
 	go t.loop()
 	if err := t.server.Start(); err != nil {
@@ -108,7 +106,16 @@
 func (t *Tier) Ready() bool { return t.ready.Load() && !t.leaving.Load() }
 
 // SetFacts puts new facts in force.
-func (t *Tier) SetFacts(f router.Facts) { t.post(f) }
+func (t *Tier) SetFacts(f router.Facts) {
+	if f.Table != nil {
+		l := f.Table.Limits
+		t.server.SetLimits(httpd.Limits{
+			HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes,
+			Silence: l.HeaderTime.Duration(), Idle: l.IdleTime.Duration(),
+		})
+	}
+	t.post(f)
+}
 
 func (t *Tier) tellPeers(list []router.Peer) {
 	t.post(router.Peers{List: list})
--- a/share/tier/tier_test.go
+++ b/share/tier/tier_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,8 +58,11 @@
 }
 
 // open puts the leafs and two routes in force, one over shards s0 and s1.
-func (r *rig) open() {
-	r.tier.SetFacts(router.Facts{Leafs: r.leafs, Table: &route.Table{Version: 1, Routes: []route.Route{
+func (r *rig) open() { r.openWithin(route.Limits{}) }
+
+// openWithin does so with the operators' limits.
+func (r *rig) openWithin(l route.Limits) {
+	r.tier.SetFacts(router.Facts{Leafs: r.leafs, Table: &route.Table{Version: 1, Limits: l, Routes: []route.Route{
 		{Name: "one", Host: "h", Prefix: "/one/", Idempotent: true, Attempts: 2, Timeout: 8000, Target: 500, Services: []route.Weighted{{Service: "s0", Weight: 1}}},
 		{Name: "all", Host: "h", Prefix: "/all/", Idempotent: true, Attempts: 2, Timeout: 2000, Target: 500, Shards: []string{"s0", "s1"}, Top: 3, LeastShare: 0.5},
 	}}})
@@ -283,3 +287,34 @@
 	res := c.hear()
 	assert.Equal(t, res.StatusCode, http.StatusBadGateway)
 }
+
+// Operators bound what callers may send. A body over the limit and a request
+// that stops half-way are refused with an answer, and no leaf sees them; a body
+// at the limit is served.
+func TestOperatorsLimitsHold(t *testing.T) {
+	r := newRig(t)
+	var asked atomic.Int64
+	r.leaf("s0", func(w http.ResponseWriter, q *http.Request) {
+		asked.Add(1)
+		body, err := io.ReadAll(q.Body)
+		assert.Check(t, err)
+		w.Header().Set(hop.Own.Stamp, "x")
+		_, _ = fmt.Fprint(w, len(body)) // the test reads the answer
+	})
+	r.openWithin(route.Limits{HeaderBytes: 4 << 10, BodyBytes: 1000, HeaderTime: 300, IdleTime: 5000})
+	for _, c := range []struct {
+		text   string
+		status int
+	}{
+		{"POST /one/x HTTP/1.1\nHost: h\nRequest-Id: a\nContent-Length: 1000\n\n" + strings.Repeat("x", 1000), http.StatusOK},
+		{"POST /one/x HTTP/1.1\nHost: h\nRequest-Id: b\nContent-Length: 1001\n\n" + strings.Repeat("x", 1001), http.StatusRequestEntityTooLarge},
+		{"POST /one/x HTTP/1.1\nHost: h\nRequest-Id: c\nTransfer-Encoding: chunked\n\n5dc\n" + strings.Repeat("x", 1500) + "\n0\n\n", http.StatusRequestEntityTooLarge},
+		{"GET /one/x HTTP/1.1\nHost: h\nRequest-Id: d\nLong: " + strings.Repeat("x", 5000) + "\n\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"GET /one/x HTTP/1.1\nHost: h\nRequ", http.StatusRequestTimeout},
+	} {
+		caller := r.dial()
+		caller.say(c.text)
+		assert.Equal(t, caller.hear().StatusCode, c.status, "%.60s", c.text)
+	}
+	assert.Equal(t, asked.Load(), int64(1))
+}
