router: cold leafs of many hosts are not overrun; callers of a fresh host come back soon

Cause of the first: each host may send a cold leaf one request that it has saved up; 85 hosts with one each are 85 in a second, where the operators allow 20 at a rate of ten. Hosts now begin at different points of their round, and a saved request is lost if it is not used soon.

--- a/share/router/budget.go
+++ b/share/router/budget.go
@@ -1,7 +1,5 @@
 package router
 
-import "dandelionstile/share/clock"
-
 // budget bounds second calls, hedges and retries, to one service; each shard of
 // an index has its own. Each request earns a part of a call, each second call
 // spends one. It is filled by requests
@@ -36,25 +34,3 @@
 	b.tokens--
 	return true
 }
-
-// pace bounds how many requests a cold leaf gets per second from this host. A
-// leaf that has just started crashes under full load, and its return then takes
-// seconds more.
-type pace struct {
-	tokens float64
-	at     clock.Milli
-}
-
-// coldBurst is how many requests may be saved up for a cold leaf. One keeps the
-// requests of any one second at the rate plus one.
-const coldBurst = 1
-
-// has tells whether a request may go now, at a rate per second.
-func (p *pace) has(now clock.Milli, rate float64) bool {
-	p.tokens = min(coldBurst, p.tokens+float64(now-p.at)*rate/float64(clock.Second))
-	p.at = now
-	return p.tokens >= 1
-}
-
-// spend takes one request.
-func (p *pace) spend() { p.tokens-- }
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -39,6 +39,8 @@
 	alarms   alarms
 	actions  []Action
 	started  bool
+	// startedAt is when the first event came.
+	startedAt clock.Milli
 }
 
 // service is what this host knows of one service.
@@ -49,11 +51,12 @@
 	waiting []*shard
 }
 
-func (e *Engine) start() {
+func (e *Engine) start(now clock.Milli) {
 	if e.started {
 		return
 	}
 	e.started = true
+	e.startedAt = now
 	e.Policy = e.Policy.filled()
 	e.hosts = e.Policy.Hosts
 	e.peers = map[string]*peer{}
@@ -69,7 +72,7 @@
 
 // Handle takes an event and returns what is to be done, in order.
 func (e *Engine) Handle(now clock.Milli, ev Event) []Action {
-	e.start()
+	e.start(now)
 	e.actions = nil
 	switch ev := ev.(type) {
 	case Arrive:
@@ -211,7 +214,7 @@
 		if f != nil {
 			e.remove(f)
 		}
-		f = &leaf{region: e.Regions[l.Domain]}
+		f = &leaf{region: e.Regions[l.Domain], pace: pace{phase: phase(e.Self.Host, l.ID)}}
 		e.leafs[l.ID] = f
 		s := e.service(l.Service)
 		f.limit = e.connections(s.config)
--- a/share/router/finish.go
+++ b/share/router/finish.go
@@ -165,15 +165,22 @@
 	if q.route != nil {
 		n.Route = q.route.Name
 	}
-	e.do(Answer{Query: q.id, Refusal: why, Again: e.comeBack(q, why)})
+	e.do(Answer{Query: q.id, Refusal: why, Again: e.comeBack(now, q, why)})
 	e.do(n)
 	e.close(now, q)
 }
 
 // Times to come back after, in ms.
 const (
-	// againConfig is about what a process needs to learn its configuration.
+	// againConfig is when to come back to a host that has had time to learn its
+	// configuration and has not: it does not reach anybody who has one.
 	againConfig clock.Milli = 500
+	// againStart is the same for a host that has just started. It learns its
+	// configuration within 0.1 s of its start (read from the logs of days on
+	// which all hosts lose power), and callers' targets are 0.1 to 0.3 s.
+	againStart clock.Milli = 120
+	// startTime is how long a host counts as just started.
+	startTime = clock.Second
 	// againLeaf is about what a leaf needs to be seen again.
 	againLeaf clock.Milli = 300
 	// againRoom is about one and a half targets: what was under way has ended by
@@ -186,12 +193,17 @@
 )
 
 // comeBack is when a caller that was refused may find room.
-func (e *Engine) comeBack(q *query, why Refusal) clock.Milli {
+func (e *Engine) comeBack(now clock.Milli, q *query, why Refusal) clock.Milli {
 	// Consecutive requests are spread evenly, without chance: the golden
 	// ratio's multiples are.
 	spread := clock.Milli(q.id*618%1000) * againSpread / 1000
 	switch why {
-	case NoConfig, Stale:
+	case NoConfig:
+		if now < e.startedAt+startTime {
+			return againStart + spread/2
+		}
+		return againConfig + spread
+	case Stale:
 		return againConfig + spread
 	case NoLeaf:
 		return againLeaf + spread
--- a/share/router/late_test.go
+++ b/share/router/late_test.go
@@ -115,3 +115,16 @@
 	r.pass(50)
 	assert.Equal(t, len(r.sends), 2)
 }
+
+// A host has just started and learns its routes in a moment. Callers who come
+// before are told to come back within a target's time; later, when it reaches
+// nobody who has routes, there is no use in that.
+func TestCallersOfAHostThatHasJustStartedComeBackSoon(t *testing.T) {
+	r := newRig(t)
+	soon := r.arrive("/all/x", 1500)
+	assert.Equal(t, r.answers[soon].Refusal, NoConfig)
+	assert.Assert(t, r.answers[soon].Again <= 250, "%d", r.answers[soon].Again)
+	r.pass(5000)
+	late := r.arrive("/all/x", 1500)
+	assert.Assert(t, r.answers[late].Again >= 500, "%d", r.answers[late].Again)
+}
--- a/share/router/peer.go
+++ b/share/router/peer.go
@@ -77,6 +77,9 @@
 	return h.Sum64()
 }
 
+// phase is a number in [0, 1) that hosts share out evenly for each leaf.
+func phase(self, leaf string) float64 { return float64(rank(self, leaf)>>11) / (1 << 53) }
+
 // warm opens connections ahead to the hosts that are used first.
 func (e *Engine) warm(known map[string]*peer) {
 	for domain, peers := range e.near {
