router: hosts of a large fleet remember slow leafs longer

Cause: what a host believes of a slow leaf fades within a second without calls. The time now grows with the hosts.

Ruled out: too little room (73 hosts have one connection a leaf each, and waits for room are few in the log).

Fleets of up to eight hosts behave as before.

--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -134,6 +134,7 @@
 		s.budget.fill(e.Policy.Ratio, e.Policy.Reserve/float64(e.hosts))
 		for _, l := range s.leafs {
 			l.limit = e.connections(s.config)
+			l.hosts = e.hosts
 		}
 		e.wake(now, s)
 	}
@@ -218,6 +219,7 @@
 		e.leafs[l.ID] = f
 		s := e.service(l.Service)
 		f.limit = e.connections(s.config)
+		f.hosts = e.hosts
 		s.leafs = append(s.leafs, f)
 		if e.regions[f.region] == nil {
 			e.regions[f.region] = &region{}
--- a/share/router/leaf.go
+++ b/share/router/leaf.go
@@ -43,6 +43,8 @@
 	coldUntil clock.Milli
 	pace      pace
 	removed   bool
+	// hosts is how many hosts share the leaf.
+	hosts int
 }
 
 const (
@@ -88,7 +90,22 @@
 	if idle <= 0 || f.lat <= usual {
 		return f.lat
 	}
-	return usual + (f.lat-usual)*math.Exp2(-idle/forgetHalf)
+	return usual + (f.lat-usual)*math.Exp2(-idle/(forgetHalf*f.memory()))
+}
+
+const (
+	// fewHosts is for how many hosts the times of forgetting are made.
+	fewHosts = 8
+	// mostMemory bounds how much longer many hosts remember.
+	mostMemory = 8
+)
+
+// memory is by how much longer this host remembers a leaf's bad time than one of
+// few hosts does. Each host of many calls a leaf seldom; if each tried a slow
+// leaf again as soon as one of a few does, all together would try it at every
+// call.
+func (f *leaf) memory() float64 {
+	return min(max(1, float64(f.hosts)/fewHosts), mostMemory)
 }
 
 // observe feeds the time of a reply.
@@ -165,7 +182,7 @@
 // failing is the share of calls that are expected to fail. It fades while the
 // leaf gets none, so that it is tried again.
 func (f *leaf) failing(now clock.Milli) float64 {
-	return f.fails * math.Exp2(-float64(now-f.judged)/failuresHalf)
+	return f.fails * math.Exp2(-float64(now-f.judged)/(failuresHalf*f.memory()))
 }
 
 // replied records a proper reply.
--- a/share/router/single_test.go
+++ b/share/router/single_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionstile/share/call"
+	"dandelionstile/share/clock"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/route"
 )
@@ -172,3 +173,22 @@
 	}
 	assert.Assert(t, len(r.sends) >= 3 && len(r.sends) <= 5, "%d in 2 s", len(r.sends))
 }
+
+// A leaf has become slow. One host of a large fleet calls it every few seconds
+// only; if it forgot within one, as a host of few does, all hosts together would
+// send the slow leaf as many callers as any other.
+func TestHostsOfALargeFleetRememberASlowLeaf(t *testing.T) {
+	for _, c := range []struct {
+		hosts    int
+		forgives bool
+	}{{6, true}, {80, false}} {
+		f := &leaf{hosts: c.hosts}
+		for i := range clock.Milli(8) {
+			f.observe(1000+100*i, 240)
+		}
+		f.judge(1700, 1)
+		again := f.expected(4000, 30) < 60
+		assert.Equal(t, again, c.forgives, "%d hosts expect %.0f ms", c.hosts, f.expected(4000, 30))
+		assert.Equal(t, f.failing(4000) < 0.08, c.forgives, "%d hosts expect %.2f failures", c.hosts, f.failing(4000))
+	}
+}
