--- a/share/member/member.go
+++ b/share/member/member.go
@@ -7,11 +7,11 @@
 package member
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"sort"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/rank"
 )
 
 // Host is one process of the system.
@@ -110,9 +110,7 @@
 	}
 	l.known = map[string]*entry{}
 	// Seeded by the address: repeatable, and different between hosts.
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(l.Self.Gossip)) // a hash never fails
-	l.rand = rand.New(rand.NewPCG(h.Sum64(), l.Self.Started))
+	l.rand = rand.New(rand.NewPCG(rank.Of(l.Self.Gossip), l.Self.Started))
 }
 
 // Round counts the own beat up and returns whom to tell what.
--- a/share/mirror/choose.go
+++ b/share/mirror/choose.go
@@ -1,11 +1,11 @@
 package mirror
 
 import (
-	"hash/fnv"
 	"sort"
 	"strconv"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/rank"
 )
 
 // Peer is another host that may be followed.
@@ -77,7 +77,7 @@
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
-		a, b := rank(list[i].Address), rank(list[j].Address)
+		a, b := order(list[i].Address), order(list[j].Address)
 		if a != b {
 			return a < b
 		}
@@ -86,12 +86,8 @@
 	return list
 }
 
-func rank(address string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(address)) // a hash never fails
-	_, _ = h.Write([]byte(strconv.Itoa(len(address))))
-	return h.Sum64()
-}
+// order is a number that all hosts have for an address.
+func order(address string) uint64 { return rank.Of(address, strconv.Itoa(len(address))) }
 
 // next is the best source that has not failed of late; when all have, the one
 // that was passed over longest.
--- /dev/null
+++ b/share/rank/rank_test.go
@@ -0,0 +1,27 @@
+package rank
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Hosts of an earlier version order names by the same numbers.
+func TestOfStaysTheSame(t *testing.T) {
+	assert.Equal(t, Of("a", "b"), uint64(0x089c4407b545986a))
+	assert.Equal(t, Of("ab"), Of("a", "b"))
+}
+
+func TestFractionsAreSpread(t *testing.T) {
+	const n = 1000
+	var tenths [10]int
+	for i := range n {
+		f := Fraction("host-1", fmt.Sprint(i))
+		assert.Assert(t, f >= 0 && f < 1)
+		tenths[int(f*10)]++
+	}
+	for _, k := range tenths {
+		assert.Assert(t, k > n/20 && k < n/5, "%v", tenths)
+	}
+}
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -4,6 +4,7 @@
 	"container/heap"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/rank"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/route"
 )
@@ -215,7 +216,7 @@
 		if f != nil {
 			e.remove(f)
 		}
-		f = &leaf{region: e.Regions[l.Domain], pace: pace{phase: phase(e.Self.Host, l.ID)}}
+		f = &leaf{region: e.Regions[l.Domain], pace: pace{phase: rank.Fraction(e.Self.Host, l.ID)}}
 		e.leafs[l.ID] = f
 		s := e.service(l.Service)
 		f.limit = e.connections(s.config)
--- a/share/router/pace.go
+++ b/share/router/pace.go
@@ -11,8 +11,8 @@
 // second at the rate and one more for each. With many, the requests saved up by
 // all would be several times the rate (85 hosts, 10 a second: 85 in one second).
 // Hosts therefore begin at different points of their round, and a request that
-// is not used soon after it was earned is lost (the same 85 hosts: 16 at most in
-// any second, 9.8 a second on average, with a request to send at all times).
+// is not used soon after it was earned is lost (the same 85 hosts: 14 at most in
+// any second, 6.9 a second on average, with a request to send at all times).
 type pace struct {
 	tokens float64
 	at     clock.Milli
@@ -32,11 +32,18 @@
 	// crowdHosts is up to how many hosts may each have one saved up: what the
 	// operators' bound usually allows beyond the rate (half of it, and five).
 	crowdHosts = 10
+	// crowdPart is the part of the rate that more hosts than that use: their
+	// rounds fall together by chance, and within any second half as many again
+	// as on average do.
+	crowdPart = 0.7
 )
 
 // has tells whether a request may go now, at a rate per second of all hosts.
 func (p *pace) has(now clock.Milli, rate float64, hosts int) bool {
 	own := rate / float64(hosts)
+	if hosts > crowdHosts {
+		own *= crowdPart
+	}
 	if !p.begun {
 		p.begun = true
 		p.at = now
--- a/share/router/pace_test.go
+++ b/share/router/pace_test.go
@@ -7,16 +7,17 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/rank"
 )
 
 // burstOf drives the paces of many hosts for one cold leaf, each host with a
 // request to send in so many of 100 ms, and returns the most that the leaf got
 // in any second, and the mean.
-func burstOf(hosts int, rate float64, busy int, from clock.Milli) (most int, mean float64) {
+func burstOf(leaf string, hosts int, rate float64, busy int, from clock.Milli) (most int, mean float64) {
 	const span = 20 * clock.Second
 	paces := make([]pace, hosts)
 	for i := range paces {
-		paces[i].phase = phase(fmt.Sprintf("host-%d", i), "leaf")
+		paces[i].phase = rank.Fraction(fmt.Sprintf("host-%d", i), leaf)
 	}
 	var sent []clock.Milli
 	for now := from; now < from+span; now += 10 {
@@ -47,9 +48,12 @@
 	for _, hosts := range []int{7, 30, 85, 300} {
 		for _, from := range []clock.Milli{0, 5000, 60000} {
 			for _, busy := range []int{10, 3} {
-				most, mean := burstOf(hosts, rate, busy, from)
-				assert.Assert(t, float64(most) <= rate*1.5+5, "%d hosts from %d: %d in a second", hosts, from, most)
-				assert.Assert(t, mean >= rate/2, "%d hosts from %d: %.1f a second", hosts, from, mean)
+				for _, leaf := range []string{"a", "b", "c", "d"} {
+					most, mean := burstOf(leaf, hosts, rate, busy, from)
+					assert.Assert(t, float64(most) <= rate*1.5+5, "%d hosts from %d: %d in a second", hosts, from, most)
+					assert.Assert(t, mean >= rate/2, "%d hosts from %d: %.1f a second", hosts, from, mean)
+					t.Logf("%d hosts from %d, busy %d: %d at most, %.1f on average", hosts, from, busy, most, mean)
+				}
 			}
 		}
 	}
@@ -61,7 +65,7 @@
 	const hosts, rate = 85, 10.0
 	paces := make([]pace, hosts)
 	for i := range paces {
-		paces[i].phase = phase(fmt.Sprintf("host-%d", i), "leaf")
+		paces[i].phase = rank.Fraction(fmt.Sprintf("host-%d", i), "leaf")
 		paces[i].has(0, rate, hosts)
 	}
 	sent := 0
--- a/share/router/peer.go
+++ b/share/router/peer.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
+	"dandelionstile/share/rank"
 )
 
 // peer is another host and how relayed requests fared there.
@@ -50,7 +50,9 @@
 	for _, p := range list {
 		one := known[p.Address]
 		if one == nil || one.Started != p.Started {
-			one = &peer{rank: rank(e.Self.Host, p.Address)}
+			// Each host has an order of its own, so that all together use all
+			// others alike.
+			one = &peer{rank: rank.Of(e.Self.Host, " ", p.Address)}
 		}
 		one.Peer = p
 		one.region = e.Regions[p.Domain]
@@ -69,17 +71,6 @@
 	e.do(Note{Kind: NotePeers, Got: len(list), Of: hosts})
 }
 
-// rank orders hosts anew for each host, so that all hosts together use all
-// others alike.
-func rank(self, other string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(self + " " + other)) // a hash never fails
-	return h.Sum64()
-}
-
-// phase is a number in [0, 1) that hosts share out evenly for each leaf.
-func phase(self, leaf string) float64 { return float64(rank(self, leaf)>>11) / (1 << 53) }
-
 // warm opens connections ahead to the hosts that are used first.
 func (e *Engine) warm(known map[string]*peer) {
 	for domain, peers := range e.near {
