--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -98,7 +98,7 @@
 		OnRequest: func(_ http.ResponseWriter, r *http.Request) { s.conns.take(r.RemoteAddr) },
 		Listen:    func(string, string) (net.Listener, error) { return ln, nil },
 	})
-	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
+	s.engine.OnData(func(c *nbio.Conn, data []byte) {
 		if s.read(c, len(data)) {
 			c.DataHandler()(c, data)
 		}
--- a/share/httpd/limits_test.go
+++ b/share/httpd/limits_test.go
@@ -123,6 +123,7 @@
 	}()
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(t, err)
+	defer func() { assert.NilError(t, res.Body.Close()) }()
 	got, err := io.ReadAll(res.Body)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(got, body))
--- a/share/router/pace.go
+++ b/share/router/pace.go
@@ -12,7 +12,7 @@
 // all would be several times the rate (85 hosts, 10 a second: 85 in one second).
 // Hosts therefore begin at different points of their round, and a request that
 // is not used soon after it was earned is lost (the same 85 hosts: 14 at most in
-// any second, 6.9 a second on average, with a request to send at all times).
+// any second, about 7 a second on average, with a request to send at all times).
 type pace struct {
 	tokens float64
 	at     clock.Milli
