--- a/soak/play/fault.go
+++ b/soak/play/fault.go
@@ -90,7 +90,7 @@
 	(*world).kill, (*world).term, (*world).term, (*world).pause, (*world).hup,
 	(*world).storeMode, (*world).forget, (*world).cutStore, (*world).cutStore,
 	(*world).leafMode, (*world).leafMode, (*world).leafMode, (*world).cutLeafs, (*world).cutLeafs,
-	(*world).crashLeaf, (*world).drainLeaf, (*world).drainLeaf,
+	(*world).crashLeaf, (*world).drainLeaf, (*world).drainLeaf, (*world).slowSome, (*world).slowSome,
 	(*world).change, (*world).change,
 }
 
@@ -275,6 +275,26 @@
 	}
 }
 
+// slowSome makes one leaf of each service slow at once: hosts want a second call
+// for a part of every query, and the budget has to hold them back.
+func (w *world) slowSome(_ uint64, span time.Duration) {
+	w.mu.Lock()
+	met := map[string]*leaf{}
+	for _, l := range w.leafs {
+		if !l.gone {
+			met[l.Service] = l
+		}
+	}
+	w.mu.Unlock()
+	for _, l := range met {
+		l.SetMode(fake.LeafMode{Work: 250 * time.Millisecond})
+	}
+	time.Sleep(span)
+	for _, l := range met {
+		l.SetMode(fake.LeafMode{})
+	}
+}
+
 func (w *world) leafsOf(service string) []*leaf {
 	w.mu.Lock()
 	defer w.mu.Unlock()
