--- a/share/httpd/limits_test.go
+++ b/share/httpd/limits_test.go
@@ -160,3 +160,40 @@
 	s.SetLimits(Limits{Silence: 200 * time.Millisecond})
 	assert.Equal(t, status(t, c), http.StatusRequestTimeout)
 }
+
+// Callers ask for large answers and never read them. Others are served all the
+// same, and the server can be closed.
+func TestCallersThatNeverReadHoldUpNobody(t *testing.T) {
+	large := bytes.Repeat([]byte("x"), 4<<20)
+	s := &Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(large) // its reader never reads
+		}
+	})}
+	assert.NilError(t, s.Start())
+	for range 20 {
+		c, err := net.Dial("tcp", s.Addr())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+	}
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(2*time.Second)))
+	for range 10 {
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		assert.Equal(t, status(t, c), http.StatusOK)
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- s.Close() }()
+	select {
+	case err := <-closed:
+		assert.NilError(t, err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the server does not close")
+	}
+}
