--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -129,6 +129,7 @@
 	page, err := f.reading.Read(f.after, wait)
 	now := f.Clock.Now()
 	if err == nil && page.Age > f.Wait+slack {
+		f.takeOld(now, page)
 		err = errors.Wrapf(errStale, "%d ms", page.Age)
 	}
 	if errors.Is(err, ErrHistory) {
@@ -144,6 +145,22 @@
 	return nil
 }
 
+// takeOld takes what is new here from a host that has itself not heard from the
+// store of late. A host that starts while the store is down would otherwise turn
+// its callers away until the store is back, for want of any routes. The news
+// stay old: the host goes on looking for fresher ones, and tells their age to
+// those that follow it.
+func (f *Follower) takeOld(now clock.Milli, page Page) {
+	if page.Revision <= f.after {
+		return
+	}
+	f.Log.Warn().Str("source", f.name()).Int64("revision", page.Revision).Int64("former", f.after).
+		Int64("age-ms", int64(page.Age)).Msg("old-news-taken")
+	f.after = page.Revision
+	f.mirror.Put(now, page)
+	f.Sink.Take(now, page)
+}
+
 // pick takes the best source; a change of source is logged.
 func (f *Follower) pick() {
 	f.mu.Lock()
--- a/share/mirror/mirror_test.go
+++ b/share/mirror/mirror_test.go
@@ -261,6 +261,30 @@
 	}
 }
 
+// A host starts while the store is down; another has what the store last said,
+// some seconds ago. The fresh host serves by that instead of telling its callers
+// that it has no routes, goes on looking for fresher news, and has them when the
+// store is back.
+func TestFreshHostTakesOldNews(t *testing.T) {
+	store := &scripted{revision: 7}
+	old := region(t, store, 1)[0]
+	poll.WaitOn(t, old.sink.has(7))
+	store.set(7, true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		old.sink.mu.Lock()
+		defer old.sink.mu.Unlock()
+		if old.sink.lost > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not told")
+	})
+	fresh := region(t, store, 1)[0]
+	fresh.follower.SetPeers([]Peer{old.follower.Self})
+	poll.WaitOn(t, fresh.sink.has(7), poll.WithTimeout(3*time.Second))
+	store.set(8, false)
+	poll.WaitOn(t, fresh.sink.has(8))
+}
+
 // A configuration of a thousand routes goes to a dozen hosts over one host's
 // link at once. Packed, it takes a tenth of the bytes and more.
 func TestLargePagesArePacked(t *testing.T) {
