fakes: ports that nothing else can take

The lab picked a port with ':0', released it, and started the program later; meanwhile a link dialled from the same IP may get that port as its own, or the kernel may give it twice. The log of the second test was cut; it waited in the same place, versions at 1.

Ruled out: the other labs of the process (each has IPs of its own).

The lab says at once when a program ended by itself; before, Close took it for killed on purpose.

--- a/fakes/lab/lab.go
+++ b/fakes/lab/lab.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +13,7 @@
 
 	"dandelionstile/fakes/leaf"
 	"dandelionstile/fakes/plat"
+	"dandelionstile/fakes/ports"
 	"dandelionstile/fakes/relay"
 	"dandelionstile/share/invent"
 )
@@ -39,10 +39,12 @@
 	platform string
 }
 
-// labs counts the labs of this process. Each has addresses of its own: a port
-// that is found free may be taken by another lab before it is used.
+// labs counts the labs of this process; the hosts of each have IPs of their own.
 var labs atomic.Int64
 
+// free hands out the ports of all labs of this process.
+var free ports.Pool
+
 // Host is one entry host with its two programs.
 type Host struct {
 	Name   string
@@ -61,11 +63,44 @@
 	gone                   bool
 }
 
+// ErrEnded says that a program ended although nobody asked it to.
+var ErrEnded = errors.New("program ended by itself")
+
 // Process is a program that the lab started.
 type Process struct {
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
+	name  string
+	cmd   *exec.Cmd
+	done  chan struct{}
+	err   error
+	asked atomic.Bool // its end was asked for
+}
+
+// Ended returns ErrEnded with the cause if the program ended by itself.
+func (p *Process) Ended() error {
+	select {
+	case <-p.done:
+	default:
+		return nil
+	}
+	if p.asked.Load() {
+		return nil
+	}
+	return errors.Wrapf(ErrEnded, "%s: %v", p.name, p.err)
+}
+
+// Ended returns the first program's fault that ended by itself.
+func (l *Lab) Ended() error {
+	for _, h := range l.Hosts {
+		for _, p := range []*Process{h.Entry, h.Aggregator} {
+			if p == nil {
+				continue
+			}
+			if err := p.Ended(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
 }
 
 // Start begins with the platform and the backend servers, then the hosts.
@@ -79,8 +114,12 @@
 	}
 	l.platform = addr
 	l.Servers = map[string]*leaf.Server{}
-	l.Specs = l.Layout.Servers(func(string) string { return "127.0.0.1:0" })
+	l.Specs = l.Layout.Servers(func(string) string { return "" }) // picked below
 	for i := range l.Specs {
+		// A server listens on the same port again after a crash.
+		if l.Specs[i].Address, err = free.Free("127.0.0.1"); err != nil {
+			return err
+		}
 		s := leaf.New(l.Specs[i], l.Model)
 		addr, err := s.Start(l.Specs[i].Address)
 		if err != nil {
@@ -113,7 +152,7 @@
 // place picks a host's addresses.
 func (l *Lab) place(h *Host) error {
 	for _, to := range []*string{&h.Callers, &h.EntryAdmin, &h.AggAdmin, &h.entryLinks, &h.aggLinks} {
-		addr, err := freePort(h.IP)
+		addr, err := free.Free(h.IP)
 		if err != nil {
 			return err
 		}
@@ -133,15 +172,6 @@
 	return err
 }
 
-func freePort(ip string) (string, error) {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
-}
-
 // Publish puts the layout with these rules on the platform as the next version.
 func (l *Lab) Publish(rules string) {
 	l.Version++
@@ -201,7 +231,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, errors.Wrapf(err, "start %s", program)
 	}
-	p := &Process{cmd: cmd, done: make(chan struct{})}
+	p := &Process{name: h.Name + " " + program, cmd: cmd, done: make(chan struct{})}
 	go func() {
 		p.err = cmd.Wait()
 		close(p.done)
@@ -220,6 +250,7 @@
 
 // Kill ends a process at once and waits.
 func (p *Process) Kill() {
+	p.asked.Store(true)
 	p.Signal(syscall.SIGKILL)
 	<-p.done
 }
@@ -227,6 +258,7 @@
 // Stop asks a process to leave and returns its verdict, killing it after a
 // while.
 func (p *Process) Stop() error {
+	p.asked.Store(true)
 	p.Signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
@@ -269,7 +301,7 @@
 // Close stops everything. It returns the faults of programs that did not end
 // in order.
 func (l *Lab) Close() error {
-	var err error
+	err := l.Ended()
 	type ended struct {
 		name string
 		err  error
@@ -283,13 +315,13 @@
 			}
 			select {
 			case <-p.done:
-				continue // killed on purpose earlier
+				continue // ended earlier
 			default:
 			}
 			n++
 			go func() {
 				p.Signal(syscall.SIGCONT)
-				results <- ended{h.Name + " " + filepath.Base(p.cmd.Path), p.Stop()}
+				results <- ended{p.name, p.Stop()}
 			}()
 		}
 	}
--- a/fakes/lab/lab_test.go
+++ b/fakes/lab/lab_test.go
@@ -104,6 +104,9 @@
 			continue
 		}
 		assert.NilError(t, Await(patient, h.Name+" answers completely", func() bool {
+			if l.Ended() != nil {
+				return true // said below
+			}
 			for _, v := range l.Layout.Services {
 				a, err := c.Query(h.Callers, v.Name, "ready", budget)
 				if err != nil || !a.Complete {
@@ -112,6 +115,7 @@
 			}
 			return c.Ready(h.Callers)
 		}))
+		assert.NilError(t, l.Ended())
 	}
 }
 
