invent, entry, stile: routes in the operators' own files

The routes of the users' platform were known to the router only; operators of the product's own format had none. Routes are now part of the files, checked with file, line and key (route.Faults says which field; the adapter's Check joins the same faults), and an entry serves them through the same tier where its settings name an address. Regions come with the facts: in the own format they change with the inventory.

Weighed: through the aggregators (leases and ramps count the slots of leafs that an opaque request does not name; not done).

Regions that come with facts do not occur on the users' platform.

--- a/entry/core/core.go
+++ b/entry/core/core.go
@@ -35,6 +35,9 @@
 	Log      zerolog.Logger
 	Meter    *meter.Meter
 	Tracer   *spans.Tracer
+	// Configured is told of each configuration that comes in force; it may be
+	// nil. It is called in the control loop and must not wait for it.
+	Configured func(*invent.Config)
 
 	loop    node.Loop[any]
 	node    node.Node
@@ -436,6 +439,9 @@
 
 func (o owner) Configure(_ clock.Milli, cfg *invent.Config, hosts []invent.Host) {
 	o.c.fan.Configure(cfg, hosts)
+	if o.c.Configured != nil && cfg != nil {
+		o.c.Configured(cfg)
+	}
 	for name, l := range o.c.aggs {
 		if l != nil {
 			o.c.fan.HostUp(name)
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -42,6 +42,9 @@
 type Front struct {
 	Core    *core.Core
 	Address string
+	// AlsoReady tells whether what is served beside the queries is ready too;
+	// nil for nothing.
+	AlsoReady func() bool
 
 	server  httpd.Server
 	leaving atomic.Bool
@@ -63,7 +66,7 @@
 	mux.HandleFunc("POST /v1/ids", f.ids)
 	mux.HandleFunc("POST /v1/updates", f.update)
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		httpd.WriteReady(w, !f.leaving.Load() && f.Core.Ready())
+		httpd.WriteReady(w, !f.leaving.Load() && f.Core.Ready() && (f.AlsoReady == nil || f.AlsoReady()))
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.inside.Add(1)
--- a/entry/main.go
+++ b/entry/main.go
@@ -4,11 +4,13 @@
 
 import (
 	"os"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"dandelionstile/entry/core"
 	"dandelionstile/entry/front"
+	"dandelionstile/entry/routed"
 	"dandelionstile/share/daemon"
 )
 
@@ -39,17 +41,48 @@
 	if b.Settings.Listen.Callers == "" {
 		return daemon.Service{}, daemon.Invalid(errNoCallers)
 	}
-	c := &core.Core{Settings: b.Settings, Log: b.Log, Meter: b.Meter, Tracer: b.Tracer}
-	if err := c.Start(); err != nil {
+	e := &entry{routed: routed.Routed{Settings: b.Settings, Log: b.Log, Meter: b.Meter}}
+	e.core = core.Core{
+		Settings: b.Settings, Log: b.Log, Meter: b.Meter, Tracer: b.Tracer, Configured: e.routed.Configure,
+	}
+	e.front = front.Front{Core: &e.core, Address: b.Settings.Listen.Callers, AlsoReady: e.routed.Ready}
+	if err := e.start(); err != nil {
 		return daemon.Service{}, err
 	}
-	f := &front.Front{Core: c, Address: b.Settings.Listen.Callers}
-	if err := f.Start(); err != nil {
-		return daemon.Service{}, errors.CombineErrors(err, c.Close())
+	b.Log.Info().Str("callers", e.front.Addr()).Str("routes", e.routed.Addr()).Msg("serving callers")
+	return daemon.Service{Admin: e.core.Admin(), Leave: e.leave, Close: e.close}, nil
+}
+
+// entry is the running parts.
+type entry struct {
+	core   core.Core
+	front  front.Front
+	routed routed.Routed
+}
+
+// start begins with the routes: the core tells them of configurations.
+func (e *entry) start() error {
+	if err := e.routed.Start(); err != nil {
+		return err
+	}
+	if err := e.core.Start(); err != nil {
+		return errors.CombineErrors(err, e.routed.Close())
 	}
-	b.Log.Info().Str("callers", f.Addr()).Msg("serving callers")
-	return daemon.Service{
-		Admin: c.Admin(), Leave: f.Leave,
-		Close: func() error { return errors.CombineErrors(f.Close(), c.Close()) },
-	}, nil
+	if err := e.front.Start(); err != nil {
+		return errors.CombineErrors(err, errors.CombineErrors(e.core.Close(), e.routed.Close()))
+	}
+	return nil
+}
+
+// leave ends the work of both kinds at the same time.
+func (e *entry) leave() {
+	var both sync.WaitGroup
+	both.Go(e.front.Leave)
+	both.Go(e.routed.Leave)
+	both.Wait()
+}
+
+func (e *entry) close() error {
+	err := errors.CombineErrors(e.front.Close(), e.core.Close())
+	return errors.CombineErrors(err, e.routed.Close())
 }
--- /dev/null
+++ b/entry/routed/routed.go
@@ -0,0 +1,119 @@
+// Package routed serves the routes of the operators' inventory: requests that
+// are passed on as they are, to one backend server of a service or to one of
+// each shard. It translates a configuration into what the tier goes by; all
+// decisions are the tier's.
+package routed
+
+import (
+	"github.com/rs/zerolog"
+
+	"dandelionstile/share/clock"
+	"dandelionstile/share/hop"
+	"dandelionstile/share/invent"
+	"dandelionstile/share/meter"
+	"dandelionstile/share/node"
+	"dandelionstile/share/roster"
+	"dandelionstile/share/router"
+	"dandelionstile/share/tier"
+)
+
+// Routed serves routes where the settings name an address for them, and does
+// nothing where they do not. The exported fields are set before Start.
+type Routed struct {
+	Settings node.Settings
+	Log      zerolog.Logger
+	Meter    *meter.Meter
+
+	tier tier.Tier
+}
+
+func (r *Routed) on() bool { return r.Settings.Routes.Listen != "" }
+
+// Start listens. Requests are refused until a configuration is known.
+func (r *Routed) Start() error {
+	if !r.on() {
+		return nil
+	}
+	s := r.Settings.Routes
+	r.tier = tier.Tier{
+		Settings: tier.Settings{
+			Callers: s.Listen, Gossip: s.Gossip, Relay: s.Relay, Seeds: s.Seeds,
+			Source: r.Settings.Listen.IP(), Dialect: hop.Own,
+			Self:   router.Place{Host: r.Settings.Host.Name, Domain: r.Settings.Host.Domain},
+			Policy: router.Policy{Ratio: s.SecondCalls.Ratio, Reserve: s.SecondCalls.Reserve},
+		},
+		Log: r.Log, Meter: r.Meter, Clock: clock.Wall{},
+	}
+	return r.tier.Start()
+}
+
+// Configure puts a configuration in force.
+func (r *Routed) Configure(cfg *invent.Config) {
+	if r.on() {
+		r.tier.SetFacts(facts(cfg))
+	}
+}
+
+// Addr is the address that callers connect to; empty where none is served.
+func (r *Routed) Addr() string {
+	if !r.on() {
+		return ""
+	}
+	return r.tier.Addr()
+}
+
+// Ready tells whether callers should come here.
+func (r *Routed) Ready() bool { return !r.on() || r.tier.Ready() }
+
+// Leave ends the work in order.
+func (r *Routed) Leave() {
+	if r.on() {
+		r.tier.Leave()
+	}
+}
+
+// Close ends everything and waits.
+func (r *Routed) Close() error {
+	if !r.on() {
+		return nil
+	}
+	return r.tier.Close()
+}
+
+// facts is a configuration as the tier goes by it. A backend server is one leaf
+// there: an opaque request names none of the server's own.
+func facts(cfg *invent.Config) router.Facts {
+	f := router.Facts{
+		Table:   cfg.Table(),
+		Out:     make(map[string]bool, len(cfg.Rules.DomainsOut)),
+		Regions: make(map[string]string, len(cfg.Inventory.Domains)),
+	}
+	for _, d := range cfg.Inventory.Domains {
+		f.Regions[d.Name] = d.Region
+	}
+	for _, d := range cfg.Rules.DomainsOut {
+		f.Out[d] = true
+	}
+	carry := cfg.CarryRules()
+	for _, s := range cfg.Inventory.Servers {
+		rule := carry[s.Name]
+		f.Leafs = append(f.Leafs, roster.Leaf{
+			ID: s.Name, Service: s.Service, Address: s.Address, Domain: s.Domain,
+			Slots: slots(s, rule.Slots), Draining: rule.Out,
+		})
+	}
+	return f
+}
+
+// slots is how many requests a server works on at once, with each of its leafs
+// held to the operators' cap; 0 caps nothing.
+func slots(s invent.Server, most int) int {
+	if most == 0 {
+		return s.Slots()
+	}
+	n := 0
+	for _, l := range s.Leafs {
+		n += min(l.Slots, most)
+	}
+	return n
+}
--- a/fakes/lab/lab.go
+++ b/fakes/lab/lab.go
@@ -30,6 +30,8 @@
 	// Relays puts a relay in front of each link listener, so that hosts can be
 	// cut off from each other.
 	Relays bool
+	// Routes lets the entries serve the routes of the rules.
+	Routes bool
 
 	Platform plat.Platform
 	Servers  map[string]*leaf.Server
@@ -51,43 +53,21 @@
 	Domain string
 	IP     string
 	// Callers, and the two admin addresses, are where the programs are asked.
-	Callers    string
+	Callers string
+	// Routes is where callers of routes connect.
+	Routes     string
 	EntryAdmin string
 	AggAdmin   string
 	Entry      *Process
 	Aggregator *Process
 
+	gossip, relay          string // where other entries reach the routes
 	entryLinks, aggLinks   string // where the programs listen
 	entryPublic, aggPublic string // where peers connect
 	entryRelay, aggRelay   *relay.Relay
 	gone                   bool
 }
 
-// ErrEnded says that a program ended although nobody asked it to.
-var ErrEnded = errors.New("program ended by itself")
-
-// Process is a program that the lab started.
-type Process struct {
-	name  string
-	cmd   *exec.Cmd
-	done  chan struct{}
-	err   error
-	asked atomic.Bool // its end was asked for
-}
-
-// Ended returns ErrEnded with the cause if the program ended by itself.
-func (p *Process) Ended() error {
-	select {
-	case <-p.done:
-	default:
-		return nil
-	}
-	if p.asked.Load() {
-		return nil
-	}
-	return errors.Wrapf(ErrEnded, "%s: %v", p.name, p.err)
-}
-
 // Ended returns the first program's fault that ended by itself.
 func (l *Lab) Ended() error {
 	for _, h := range l.Hosts {
@@ -151,7 +131,7 @@
 
 // place picks a host's addresses.
 func (l *Lab) place(h *Host) error {
-	for _, to := range []*string{&h.Callers, &h.EntryAdmin, &h.AggAdmin, &h.entryLinks, &h.aggLinks} {
+	for _, to := range []*string{&h.Callers, &h.Routes, &h.gossip, &h.relay, &h.EntryAdmin, &h.AggAdmin, &h.entryLinks, &h.aggLinks} {
 		addr, err := free.Free(h.IP)
 		if err != nil {
 			return err
@@ -215,6 +195,10 @@
 	for _, other := range l.Hosts {
 		text += "  - " + other.aggPublic + "\n"
 	}
+	if l.Routes && callers != "" {
+		text += fmt.Sprintf("routes:\n  listen: %s\n  gossip: %s\n  relay: %s\n  seeds: [%s]\n",
+			h.Routes, h.gossip, h.relay, l.Hosts[0].gossip)
+	}
 	base := filepath.Join(l.Dir, h.Name+"-"+program)
 	if err := os.WriteFile(base+".yaml", []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings")
@@ -239,36 +223,6 @@
 	return p, nil
 }
 
-// Signal sends a signal to a process that still runs.
-func (p *Process) Signal(s syscall.Signal) {
-	select {
-	case <-p.done:
-	default:
-		_ = p.cmd.Process.Signal(s) // it may end meanwhile
-	}
-}
-
-// Kill ends a process at once and waits.
-func (p *Process) Kill() {
-	p.asked.Store(true)
-	p.Signal(syscall.SIGKILL)
-	<-p.done
-}
-
-// Stop asks a process to leave and returns its verdict, killing it after a
-// while.
-func (p *Process) Stop() error {
-	p.asked.Store(true)
-	p.Signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-		return p.err
-	case <-time.After(30 * time.Second):
-		p.Kill()
-		return errors.New("process did not leave")
-	}
-}
-
 // KillHost ends both programs of a host at once.
 func (l *Lab) KillHost(h *Host) {
 	h.Entry.Kill()
--- /dev/null
+++ b/fakes/lab/routes_test.go
@@ -0,0 +1,129 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionstile/fakes/leaf"
+	"dandelionstile/share/hop"
+)
+
+const routeRules = `routes:
+  - {name: find, host: find.example, prefix: /find/, idempotent: true, target-ms: 400, shards: [subscription-billing, returns-desk], top: 6}
+  - {name: book, host: find.example, prefix: /book/, service: returns-desk}
+`
+
+// routedAnswer is what a caller of a route got.
+type routedAnswer struct {
+	status  int
+	body    []byte
+	stamp   string
+	parts   []string
+	missing string
+}
+
+func askRoute(t *testing.T, at, path, id string) routedAnswer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+path, nil)
+	assert.NilError(t, err)
+	r.Host = "find.example"
+	r.Header.Set(hop.Own.RequestID, id)
+	r.Header.Set(hop.Own.Deadline, "2000")
+	res, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	a := routedAnswer{status: res.StatusCode, body: body, stamp: res.Header.Get(hop.Own.Stamp), missing: res.Header.Get(hop.Own.Missing)}
+	if parts := res.Header.Get(hop.Own.Parts); parts != "" {
+		a.parts = strings.Split(parts, ", ")
+	}
+	return a
+}
+
+// servers are the servers that a merged answer says it is made of.
+func (a routedAnswer) servers() []string {
+	var list []string
+	for _, p := range a.parts {
+		list = append(list, p[:strings.LastIndex(p, ".")])
+	}
+	return list
+}
+
+// greatest are the records that a merged answer of these servers must hold.
+func greatest(servers []string, path string, top int) []byte {
+	var records [][]byte
+	for _, s := range servers {
+		for part := range slices.Chunk(leaf.Records(s, path), 16) {
+			records = append(records, part)
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	return bytes.Join(records[:top], nil)
+}
+
+// Operators of the product's own format name routes in their rules. Callers of
+// any host get whole answers; a failure domain that is taken out gets no new
+// request, and a route that is dropped is refused, both once the version is in
+// force and without a restart.
+func TestRoutesOfTheRulesAreServed(t *testing.T) {
+	l, c := startLab(t, func(l *Lab) {
+		l.Routes = true
+		l.Rules += routeRules
+	})
+	for i, h := range l.Hosts {
+		id := fmt.Sprintf("find-%d", i)
+		a := askRoute(t, h.Routes, "/find/"+id, id)
+		assert.Equal(t, a.status, http.StatusOK, "%s: %s", h.Name, a.body)
+		assert.Equal(t, len(a.parts), 2)
+		assert.DeepEqual(t, a.body, greatest(a.servers(), "/find/"+id, 6))
+		single := askRoute(t, h.Routes, "/book/"+id, id)
+		assert.Equal(t, single.status, http.StatusOK)
+		server, _, _ := strings.Cut(single.stamp, ".")
+		assert.DeepEqual(t, single.body, leaf.Records(server, "/book/"+id))
+		assert.Equal(t, askRoute(t, h.Routes, "/other/", id).status, http.StatusNotFound)
+	}
+	inForce := func() bool {
+		for _, h := range l.Hosts {
+			if c.Version(h.EntryAdmin, "config") != l.Version {
+				return false
+			}
+		}
+		return true
+	}
+	l.Publish(l.Rules + "out-of-service: [" + l.Layout.Domains[0] + "]\n")
+	assert.NilError(t, Await(patient, "the domain is out", inForce))
+	for i, h := range l.Hosts {
+		for n := range 6 {
+			id := fmt.Sprintf("out-%d-%d", i, n)
+			a := askRoute(t, h.Routes, "/find/"+id, id)
+			assert.Equal(t, a.status, http.StatusOK)
+			for _, s := range a.servers() {
+				assert.Assert(t, l.domainOf(s) != l.Layout.Domains[0], "%s of a domain that is out has answered", s)
+			}
+		}
+	}
+	l.Publish("")
+	assert.NilError(t, Await(patient, "the routes are dropped", inForce))
+	assert.Equal(t, askRoute(t, l.Hosts[1].Routes, "/find/x", "x").status, http.StatusNotFound)
+}
+
+func (l *Lab) domainOf(server string) string {
+	for _, s := range l.Specs {
+		if s.Name == server {
+			return s.Domain
+		}
+	}
+	return ""
+}
--- a/fakes/leaf/serve.go
+++ b/fakes/leaf/serve.go
@@ -49,6 +49,8 @@
 	mux.HandleFunc("POST /v1/leafs/{leaf}/update", s.update)
 	mux.HandleFunc("GET /v1/leafs/{leaf}/state", s.state)
 	mux.HandleFunc("DELETE /v1/leafs/{leaf}/attempts/{attempt}", s.cancel)
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("/", s.opaque)
 	l := &listener{ln: ln, conns: map[net.Conn]struct{}{}}
 	l.server = &http.Server{
 		Handler: mux, ReadHeaderTimeout: time.Minute,
--- a/share/invent/invent.go
+++ b/share/invent/invent.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/route"
 )
 
 // Pin names one snapshot of a service's index. The layout is the generation of
@@ -50,6 +51,9 @@
 	// of the deadline, in percent, after which an answer is given without the
 	// shards that are still missing. 100 weighs coverage most.
 	Patience int
+	// HealthPath is where its servers tell their health to routed requests'
+	// hosts.
+	HealthPath string
 }
 
 // Layout returns the layout with the given id.
@@ -136,6 +140,9 @@
 	Version   uint64
 	Inventory Inventory
 	Rules     Rules
+	// Routes say which requests are passed on as they are, and to which
+	// services.
+	Routes []route.Route
 }
 
 // DomainOut tells whether operators have taken a failure domain out.
--- a/share/invent/parse.go
+++ b/share/invent/parse.go
@@ -52,6 +52,7 @@
 	Warm     int64        `yaml:"warm-ms" validate:"gte=0"`
 	Deadline int64        `yaml:"deadline-ms" validate:"gte=0,lte=600000"`
 	Patience int          `yaml:"patience-percent" validate:"gte=0,lte=100"`
+	Health   string       `yaml:"health-path" validate:"omitempty,startswith=/"`
 }
 
 type fileHold struct {
@@ -92,6 +93,7 @@
 	Out      []string      `yaml:"out-of-service"`
 	Carry    []fileCarry   `yaml:"carry" validate:"dive"`
 	Never    []fileNever   `yaml:"never-repeat" validate:"dive"`
+	Routes   []fileRoute   `yaml:"routes" validate:"dive"`
 }
 
 // Parse builds a configuration from the operators' files. On any fault it
@@ -130,6 +132,7 @@
 	}
 	p.read = next
 	b.checkReferences()
+	b.checkRoutes()
 	if err := b.faults.Err(); err != nil {
 		return nil, err
 	}
@@ -169,6 +172,8 @@
 	seen     map[named]place
 	servers  []serverAt
 	expected []expected
+	// routes are where the configuration's routes were, in their order.
+	routes []place
 }
 
 // serverAt and expected are checked once all parts are read.
@@ -191,6 +196,7 @@
 	b.addServices(r.source, r.file)
 	b.addServers(r.source, r.file)
 	b.addRules(r.source, r.file)
+	b.addRoutes(r.source, r.file)
 }
 
 func (b *builder) fault(src conf.Source, key, problem, hint string) {
@@ -225,10 +231,11 @@
 		key := fmt.Sprintf("services[%d]", i)
 		b.unique(src, "service", s.Name, key+".name")
 		service := Service{
-			Name:     s.Name,
-			Warm:     orDefault(clock.Milli(s.Warm), defaultWarm),
-			Deadline: orDefault(clock.Milli(s.Deadline), defaultDeadline),
-			Patience: orDefault(s.Patience, defaultPatience),
+			Name:       s.Name,
+			Warm:       orDefault(clock.Milli(s.Warm), defaultWarm),
+			Deadline:   orDefault(clock.Milli(s.Deadline), defaultDeadline),
+			Patience:   orDefault(s.Patience, defaultPatience),
+			HealthPath: orDefault(s.Health, defaultHealth),
 		}
 		for j, l := range s.Layouts {
 			if _, twice := service.Layout(l.ID); twice {
--- /dev/null
+++ b/share/invent/routes.go
@@ -0,0 +1,155 @@
+package invent
+
+import (
+	"fmt"
+	"slices"
+
+	"dandelionstile/share/clock"
+	"dandelionstile/share/conf"
+	"dandelionstile/share/route"
+)
+
+// Defaults of a route that does not say otherwise.
+const (
+	// defaultAttempts lets a request go to a second leaf when the first fails.
+	defaultAttempts = 2
+	// defaultTimeout is as long as a query without a budget of its own may take.
+	defaultTimeout = defaultDeadline
+	// defaultLeastShare asks for all shards: whoever can use less says so.
+	defaultLeastShare = 1
+	// defaultHealth is where a service's leafs tell their health.
+	defaultHealth = "/health"
+)
+
+type fileWeighted struct {
+	Service string  `yaml:"service" validate:"required"`
+	Weight  float64 `yaml:"weight" validate:"gte=0"`
+}
+
+type fileRoute struct {
+	Name       string         `yaml:"name" validate:"required"`
+	Host       string         `yaml:"host" validate:"required"`
+	Prefix     string         `yaml:"prefix" validate:"required"`
+	Idempotent bool           `yaml:"idempotent"`
+	Attempts   int            `yaml:"attempts" validate:"gte=0,lte=100"`
+	Timeout    int64          `yaml:"timeout-ms" validate:"gte=0,lte=600000"`
+	Target     int64          `yaml:"target-ms" validate:"gte=0,lte=600000"`
+	Rank       int            `yaml:"rank" validate:"gte=0"`
+	Service    string         `yaml:"service"`
+	Services   []fileWeighted `yaml:"services" validate:"dive"`
+	Shards     []string       `yaml:"shards"`
+	Top        int            `yaml:"top" validate:"gte=0"`
+	LeastShare float64        `yaml:"least-share" validate:"gte=0,lte=1"`
+	Regions    []string       `yaml:"regions"`
+}
+
+// fieldKeys are the file's keys of a route's fields, where they differ.
+var fieldKeys = map[route.Field]string{
+	route.FieldTimeout: "timeout-ms",
+}
+
+func (f fileRoute) route() route.Route {
+	r := route.Route{
+		Name: f.Name, Host: f.Host, Prefix: f.Prefix, Idempotent: f.Idempotent,
+		Attempts: orDefault(f.Attempts, defaultAttempts),
+		Timeout:  orDefault(clock.Milli(f.Timeout), defaultTimeout), Target: clock.Milli(f.Target),
+		Rank: f.Rank, Shards: f.Shards, Top: f.Top, Regions: f.Regions,
+	}
+	if r.Merged() {
+		r.LeastShare = orDefault(f.LeastShare, float64(defaultLeastShare))
+	}
+	if f.Service != "" {
+		r.Services = []route.Weighted{{Service: f.Service, Weight: 1}}
+	}
+	for _, s := range f.Services {
+		r.Services = append(r.Services, route.Weighted(s))
+	}
+	return r
+}
+
+// addRoutes takes a file's routes. Faults of routes in different files, such as
+// two with one prefix, are found once all parts are read.
+func (b *builder) addRoutes(src conf.Source, f filePart) {
+	for i, r := range f.Routes {
+		key := fmt.Sprintf("routes[%d]", i)
+		b.unique(src, "route", r.Name, key+".name")
+		b.config.Routes = append(b.config.Routes, r.route())
+		b.routes = append(b.routes, place{src, key})
+		if r.Service != "" && len(r.Services) > 0 {
+			b.fault(src, key+".service", "both service and services are given", "list it among the services")
+		}
+		if r.Service != "" {
+			b.expect(src, key+".service", "service", r.Service)
+		}
+		for j, s := range r.Services {
+			b.expect(src, fmt.Sprintf("%s.services[%d].service", key, j), "service", s.Service)
+		}
+		for j, s := range r.Shards {
+			b.expect(src, fmt.Sprintf("%s.shards[%d]", key, j), "service", s)
+		}
+	}
+}
+
+// checkRoutes reports what is wrong with the routes of all files.
+func (b *builder) checkRoutes() {
+	for _, f := range route.Faults(b.config.Routes) {
+		at := b.routes[f.Route]
+		key := at.key
+		if name, ok := fieldKeys[f.Field]; ok {
+			key += "." + name
+		} else if f.Field != route.FieldWhole {
+			key += "." + string(f.Field)
+		}
+		b.fault(at.src, key, f.Problem, "")
+	}
+	for i, r := range b.config.Routes {
+		for j, name := range r.Regions {
+			if !b.region(name) {
+				at := b.routes[i]
+				b.fault(at.src, fmt.Sprintf("%s.regions[%d]", at.key, j), fmt.Sprintf("no failure domain lies in region %q", name), "")
+			}
+		}
+	}
+}
+
+func (b *builder) region(name string) bool {
+	return slices.ContainsFunc(b.config.Inventory.Domains, func(d Domain) bool { return d.Region == name })
+}
+
+// Table returns the routes with what the inventory says of their services. A
+// service's leafs share its bounds, so the least of its servers counts.
+func (c *Config) Table() *route.Table {
+	t := &route.Table{
+		Version: c.Version, Routes: c.Routes,
+		Services: make(map[string]route.Service, len(c.Inventory.Services)),
+	}
+	for _, s := range c.Inventory.Services {
+		t.Services[s.Name] = route.Service{Name: s.Name, HealthPath: s.HealthPath, Warm: s.Warm}
+	}
+	for _, s := range c.Inventory.Servers {
+		service := t.Services[s.Service]
+		if n := s.Connections(); service.Connections == 0 || n < service.Connections {
+			service.Connections = n
+		}
+		t.Services[s.Service] = service
+	}
+	return t
+}
+
+// Connections is how many connections the server's leafs accept together.
+func (s Server) Connections() int {
+	n := 0
+	for _, l := range s.Leafs {
+		n += l.Connections
+	}
+	return n
+}
+
+// Slots is how many requests the server's leafs work on at once.
+func (s Server) Slots() int {
+	n := 0
+	for _, l := range s.Leafs {
+		n += l.Slots
+	}
+	return n
+}
--- /dev/null
+++ b/share/invent/routes_test.go
@@ -0,0 +1,67 @@
+package invent
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const routed = `routes:
+  - name: find
+    host: find.example
+    prefix: /find/
+    idempotent: true
+    target-ms: 250
+    shards: [search]
+    top: 5
+    least-share: 0.5
+    regions: [r]
+  - name: file
+    host: find.example
+    prefix: /file/
+    timeout-ms: 3000
+    services: [{service: search, weight: 3}]
+`
+
+func TestRoutesOfTheInventory(t *testing.T) {
+	c, err := Parse(7, []Part{{Name: "a.yaml", Body: []byte(good)}, {Name: "routes.yaml", Body: []byte(routed)}})
+	assert.NilError(t, err)
+	table := c.Table()
+	assert.Equal(t, table.Version, uint64(7))
+	find, ok := table.Match("find.example", "/find/2f")
+	assert.Assert(t, ok && find.Merged())
+	assert.Equal(t, find.Attempts, defaultAttempts)
+	assert.Equal(t, find.Timeout, defaultTimeout)
+	file, ok := table.Match("find.example", "/file/x/y")
+	assert.Assert(t, ok && !file.Idempotent)
+	assert.Equal(t, file.Services[0].Weight, 3.0)
+	assert.Equal(t, table.Services["search"].Connections, 8)
+	assert.Equal(t, table.Services["search"].HealthPath, defaultHealth)
+	_, ok = table.Match("find.example", "/other/")
+	assert.Assert(t, !ok)
+}
+
+// An operator publishes a route that cannot work: each fault comes with file,
+// line and key before anything is in force, also when two files disagree.
+func TestFaultyRoutesNameFileLineAndKey(t *testing.T) {
+	bad := strings.NewReplacer(
+		"prefix: /find/", "prefix: /find", "shards: [search]", "shards: [search, search, lost]",
+		"regions: [r]", "regions: [moon]", "idempotent: true", "idempotent: false",
+	).Replace(routed)
+	second := "routes:\n  - {name: twin, host: find.example, prefix: /file/, service: search}\n  - {name: none, host: h, prefix: /n/}\n"
+	_, err := Parse(1, []Part{
+		{Name: "a.yaml", Body: []byte(good)}, {Name: "routes.yaml", Body: []byte(bad)}, {Name: "second.yaml", Body: []byte(second)},
+	})
+	for _, want := range []string{
+		`routes.yaml:4: routes[0].prefix: prefix "/find" must begin and end with a slash`,
+		`routes.yaml:5: routes[0].idempotent: a query over shards must be idempotent`,
+		`routes.yaml:7: routes[0].shards: shard "search" stands twice`,
+		`routes.yaml:7: routes[0].shards[2]: service "lost" is not in the inventory`,
+		`routes.yaml:10: routes[0].regions[0]: no failure domain lies in region "moon"`,
+		`second.yaml:2: routes[0].prefix: host and prefix are those of route "file"`,
+		`second.yaml:3: routes[1].services: no service gets requests`,
+	} {
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/share/node/settings.go
+++ b/share/node/settings.go
@@ -16,10 +16,11 @@
 	Platform PlatformSettings
 	// Peers are the link addresses of aggregators to start from, before a host
 	// list is known.
-	Peers []string
-	Log   LogSettings
-	Trace TraceSettings
-	TLS   TLSSettings
+	Peers  []string
+	Log    LogSettings
+	Trace  TraceSettings
+	TLS    TLSSettings
+	Routes RoutesSettings
 }
 
 // fileSettings is the file's form of Settings.
@@ -31,6 +32,7 @@
 	Log      fileLog      `yaml:"log"`
 	Trace    fileTrace    `yaml:"trace"`
 	TLS      fileTLS      `yaml:"tls"`
+	Routes   fileRoutes   `yaml:"routes"`
 }
 
 // Load reads and checks a settings file. With a fault in it nothing is taken.
@@ -47,6 +49,7 @@
 	s := Settings{
 		Host: HostSettings(f.Host), Listen: f.Listen.settings(), Platform: PlatformSettings(f.Platform),
 		Peers: f.Peers, Log: f.Log.settings(), Trace: TraceSettings(f.Trace), TLS: TLSSettings(f.TLS),
+		Routes: f.Routes.settings(),
 	}
-	return s, s.TLS.check(src).Err()
+	return s, append(s.TLS.check(src), s.Routes.check(src)...).Err()
 }
--- a/share/route/check.go
+++ b/share/route/check.go
@@ -10,60 +10,92 @@
 // ErrInvalid marks a table that cannot be put in force.
 var ErrInvalid = errors.New("invalid routes")
 
-// Check returns everything that is wrong with a table, each with the route and
-// the field, or nil.
+// Field is a part of a route or service that a fault is about.
+type Field string
+
+// The fields of a route that can be faulty, and FieldWhole for the route itself.
+const (
+	FieldWhole      Field = ""
+	FieldHost       Field = "host"
+	FieldPrefix     Field = "prefix"
+	FieldAttempts   Field = "attempts"
+	FieldTimeout    Field = "timeout"
+	FieldServices   Field = "services"
+	FieldShards     Field = "shards"
+	FieldLeastShare Field = "least-share"
+	FieldTop        Field = "top"
+	FieldIdempotent Field = "idempotent"
+)
+
+// Fault is one thing wrong with a route.
+type Fault struct {
+	// Route is the route's place in the table.
+	Route   int
+	Field   Field
+	Problem string
+}
+
+// Check returns everything that is wrong with a table as one error, each fault
+// with the route or service it is about, or nil.
 func (t *Table) Check() error {
-	var c checker
-	seen := map[string]string{}
-	for i := range t.Routes {
-		r := &t.Routes[i]
-		c.at = fmt.Sprintf("route %q", r.Name)
-		c.route(r)
-		key := r.Host + r.Prefix
-		if other, ok := seen[key]; ok {
-			c.fault("host and prefix are those of route %q", other)
-		}
-		seen[key] = r.Name
+	var found []string
+	for _, f := range Faults(t.Routes) {
+		found = append(found, fmt.Sprintf("route %q: %s", t.Routes[f.Route].Name, f.Problem))
 	}
 	for name, s := range t.Services {
-		c.at = fmt.Sprintf("service %q", name)
-		c.service(s)
+		for _, problem := range s.faults() {
+			found = append(found, fmt.Sprintf("service %q: %s", name, problem))
+		}
 	}
-	return c.err()
+	if len(found) == 0 {
+		return nil
+	}
+	return errors.Mark(errors.New(strings.Join(found, "; ")), ErrInvalid)
 }
 
-type checker struct {
-	at    string
-	found []string
+// Faults returns everything that is wrong with routes, in their order.
+func Faults(routes []Route) []Fault {
+	var c checker
+	type key struct{ host, prefix string }
+	seen := make(map[key]string, len(routes))
+	for i := range routes {
+		r := &routes[i]
+		c.at = i
+		c.route(r)
+		k := key{r.Host, r.Prefix}
+		if other, ok := seen[k]; ok {
+			c.fault(FieldPrefix, "host and prefix are those of route %q", other)
+		}
+		seen[k] = r.Name
+	}
+	return c.found
 }
 
-func (c *checker) fault(format string, args ...any) {
-	c.found = append(c.found, c.at+": "+fmt.Sprintf(format, args...))
+type checker struct {
+	at    int
+	found []Fault
 }
 
-func (c *checker) err() error {
-	if len(c.found) == 0 {
-		return nil
-	}
-	return errors.Mark(errors.New(strings.Join(c.found, "; ")), ErrInvalid)
+func (c *checker) fault(field Field, format string, args ...any) {
+	c.found = append(c.found, Fault{Route: c.at, Field: field, Problem: fmt.Sprintf(format, args...)})
 }
 
 func (c *checker) route(r *Route) {
 	if r.Host == "" {
-		c.fault("host is missing")
+		c.fault(FieldHost, "host is missing")
 	}
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		c.fault("prefix %q must begin and end with a slash", r.Prefix)
+		c.fault(FieldPrefix, "prefix %q must begin and end with a slash", r.Prefix)
 	}
 	if r.Attempts < 1 {
-		c.fault("attempts %d must be at least 1", r.Attempts)
+		c.fault(FieldAttempts, "attempts %d must be at least 1", r.Attempts)
 	}
 	if r.Timeout <= 0 {
-		c.fault("timeout %d ms must be above 0", r.Timeout)
+		c.fault(FieldTimeout, "timeout %d ms must be above 0", r.Timeout)
 	}
 	switch {
 	case r.Merged() && len(r.Services) > 0:
-		c.fault("it names both a service and shards")
+		c.fault(FieldWhole, "it names both a service and shards")
 	case r.Merged():
 		c.merged(r)
 	default:
@@ -73,18 +105,18 @@
 
 func (c *checker) merged(r *Route) {
 	if !r.Idempotent {
-		c.fault("a query over shards must be idempotent")
+		c.fault(FieldIdempotent, "a query over shards must be idempotent")
 	}
 	if r.LeastShare < 0 || r.LeastShare > 1 {
-		c.fault("least share %g must lie between 0 and 1", r.LeastShare)
+		c.fault(FieldLeastShare, "least share %g must lie between 0 and 1", r.LeastShare)
 	}
 	if r.Top < 0 {
-		c.fault("top %d must not be negative", r.Top)
+		c.fault(FieldTop, "top %d must not be negative", r.Top)
 	}
 	seen := make(map[string]bool, len(r.Shards))
 	for _, s := range r.Shards {
 		if seen[s] {
-			c.fault("shard %q stands twice", s)
+			c.fault(FieldShards, "shard %q stands twice", s)
 		}
 		seen[s] = true
 	}
@@ -94,20 +126,22 @@
 	sum := 0.0
 	for _, w := range r.Services {
 		if w.Weight < 0 {
-			c.fault("weight %g of service %q is negative", w.Weight, w.Service)
+			c.fault(FieldServices, "weight %g of service %q is negative", w.Weight, w.Service)
 		}
 		sum += w.Weight
 	}
 	if sum <= 0 {
-		c.fault("no service gets requests")
+		c.fault(FieldServices, "no service gets requests")
 	}
 }
 
-func (c *checker) service(s Service) {
+func (s Service) faults() []string {
+	var found []string
 	if s.Connections < 0 {
-		c.fault("connections %d must not be negative", s.Connections)
+		found = append(found, fmt.Sprintf("connections %d must not be negative", s.Connections))
 	}
 	if s.ColdRate < 0 {
-		c.fault("cold rate %g must not be negative", s.ColdRate)
+		found = append(found, fmt.Sprintf("cold rate %g must not be negative", s.ColdRate))
 	}
+	return found
 }
--- /dev/null
+++ b/share/route/route_test.go
@@ -0,0 +1,54 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+func sound() Route {
+	return Route{Name: "a", Host: "h", Prefix: "/a/", Idempotent: true, Attempts: 1, Timeout: 1, Shards: []string{"x", "y"}}
+}
+
+func TestLongestPrefixMatches(t *testing.T) {
+	t.Parallel()
+	table := Table{Routes: []Route{{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/"}}}
+	r, ok := table.Match("h", "/a/b/c")
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Name, "long")
+	_, ok = table.Match("h", "/a")
+	assert.Assert(t, !ok, "a prefix ends with its slash")
+	_, ok = table.Match("other", "/a/")
+	assert.Assert(t, !ok)
+}
+
+// 0.9 of 20 shards is 18.000000000000004 in binary. Rounded up to 19, an answer
+// with 18 shards would be thrown away although the operators allow it.
+func TestLeastShareIsRoundedUpOnlyWhereItMust(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		share  float64
+		shards int
+		least  int
+	}{{0.9, 20, 18}, {0.89, 20, 18}, {0.95, 90, 86}, {1, 3, 3}, {0, 3, 1}, {0.34, 3, 2}} {
+		r := Route{LeastShare: c.share, Shards: make([]string, c.shards)}
+		assert.Equal(t, r.Least(), c.least, "%g of %d", c.share, c.shards)
+	}
+}
+
+func TestEveryFaultOfATableIsFound(t *testing.T) {
+	t.Parallel()
+	good, bad := sound(), sound()
+	bad.Name, bad.Prefix, bad.Attempts, bad.Idempotent = "b", "a", 0, false
+	table := Table{Routes: []Route{good, bad, good}, Services: map[string]Service{"x": {ColdRate: -1}}}
+	err := table.Check()
+	assert.Assert(t, errors.Is(err, ErrInvalid))
+	for _, want := range []string{
+		`route "b": prefix "a" must begin and end with a slash`, `route "b": attempts 0`, `route "b": a query over shards must be idempotent`,
+		`route "a": host and prefix are those of route "a"`, `service "x": cold rate -1`,
+	} {
+		assert.ErrorContains(t, err, want)
+	}
+	assert.NilError(t, (&Table{Routes: []Route{good}}).Check())
+}
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -118,6 +118,9 @@
 		e.table = f.Table
 		e.do(Note{Kind: NoteTable, Version: f.Table.Version, Of: len(f.Table.Routes)})
 	}
+	if f.Regions != nil {
+		e.setRegions(f.Regions)
+	}
 	e.domains(f.Out)
 	e.roster(now, f.Leafs)
 	for name, s := range e.services {
@@ -129,6 +132,26 @@
 	e.share(now)
 }
 
+// setRegions takes over which failure domain lies in which region.
+func (e *Engine) setRegions(regions map[string]string) {
+	e.Regions = regions
+	e.Self.Region = regions[e.Self.Domain]
+	for _, p := range e.peers {
+		p.region = regions[p.Domain]
+	}
+	for _, f := range e.leafs {
+		e.locate(f)
+	}
+}
+
+// locate puts a leaf in its region.
+func (e *Engine) locate(f *leaf) {
+	f.region = e.Regions[f.Domain]
+	if e.regions[f.region] == nil {
+		e.regions[f.region] = &region{}
+	}
+}
+
 // share works out this host's part of what all hosts share.
 func (e *Engine) share(now clock.Milli) {
 	for _, s := range e.services {
@@ -221,20 +244,18 @@
 		if f != nil {
 			e.remove(f)
 		}
-		f = &leaf{region: e.Regions[l.Domain], pace: pace{phase: rank.Fraction(e.Self.Host, l.ID)}}
+		f = &leaf{pace: pace{phase: rank.Fraction(e.Self.Host, l.ID)}}
 		e.leafs[l.ID] = f
 		s := e.service(l.Service)
 		e.allot(f, s)
 		s.leafs = append(s.leafs, f)
-		if e.regions[f.region] == nil {
-			e.regions[f.region] = &region{}
-		}
 		e.do(Note{Kind: NoteLeafNew, Leaf: l.ID, Service: l.Service, Cause: l.Domain})
 	}
 	if l.Draining && !f.Draining {
 		e.do(Note{Kind: NoteLeafDrains, Leaf: l.ID, Service: l.Service})
 	}
 	f.Leaf = l
+	e.locate(f)
 	if l.Cold > 0 {
 		f.coldUntil = now + l.Cold
 	}
--- a/share/router/single_test.go
+++ b/share/router/single_test.go
@@ -192,3 +192,28 @@
 		assert.Equal(t, f.failing(4000) < 0.08, c.forgives, "%d hosts expect %.2f failures", c.hosts, f.failing(4000))
 	}
 }
+
+// The operators' inventory says where failure domains lie, and a new version of
+// it moves one. Requests that may only be served in a region go to the leafs
+// that lie there now; before, the old map would send them to the wrong one.
+func TestRegionsComeWithTheFacts(t *testing.T) {
+	r := newRig(t)
+	r.engine.Regions = nil
+	r.engine.Self.Region = ""
+	bound := single(true)
+	bound.Regions = []string{"near"}
+	facts := func(version uint64, near, far string) Facts {
+		return Facts{
+			Table: table(version, bound), Leafs: []roster.Leaf{leafOf("s", "a", here), leafOf("s", "b", there)},
+			Regions: map[string]string{here: near, there: far},
+		}
+	}
+	r.handle(facts(1, "near", "far"))
+	r.arrive("/one/", 1000)
+	assert.Equal(t, r.last().Leaf, "a")
+	assert.Equal(t, r.engine.Self.Region, "near")
+	r.handle(facts(2, "far", "near"))
+	r.arrive("/one/", 1000)
+	assert.Equal(t, r.last().Leaf, "b")
+	assert.Equal(t, r.engine.Self.Region, "far")
+}
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -57,6 +57,8 @@
 	Leafs []roster.Leaf
 	// Out are the failure domains that get no new work.
 	Out map[string]bool
+	// Regions maps failure domains to regions; nil leaves what is known.
+	Regions map[string]string
 }
 
 // Peers replaces the list of other hosts that are there.
--- a/stile/cmds/check.go
+++ b/stile/cmds/check.go
@@ -31,6 +31,7 @@
 	Services int          `json:"services"`
 	Servers  int          `json:"servers"`
 	Leafs    int          `json:"leafs"`
+	Routes   int          `json:"routes"`
 }
 
 // Help describes the command.
@@ -58,14 +59,15 @@
 		return nil
 	}
 	s := shownCheck{Valid: true, Faults: []shownFault{}, Dangers: dangers(cfg)}
-	s.Services, s.Servers = len(cfg.Inventory.Services), len(cfg.Inventory.Servers)
+	s.Services, s.Servers, s.Routes = len(cfg.Inventory.Services), len(cfg.Inventory.Servers), len(cfg.Routes)
 	for _, v := range cfg.Inventory.Servers {
 		s.Leafs += len(v.Leafs)
 	}
 	for _, d := range s.Dangers {
 		out.line("%s %s", out.paint(yellow, "danger:"), d)
 	}
-	out.line("%s %d services, %d backend servers, %d leafs", out.paint(green, "valid:"), s.Services, s.Servers, s.Leafs)
+	out.line("%s %d services, %d backend servers, %d leafs, %d routes",
+		out.paint(green, "valid:"), s.Services, s.Servers, s.Leafs, s.Routes)
 	return out.value(s)
 }
 
--- a/stile/cmds/cmds_test.go
+++ b/stile/cmds/cmds_test.go
@@ -50,6 +50,36 @@
 	assert.Assert(t, strings.Contains(out, "safe:"), out)
 }
 
+// An operator publishes a route whose service has no server left where it may be
+// served, or drops one that is in use; both are valid, and must be said first.
+func TestDangersAndChangesOfRoutesAreSaid(t *testing.T) {
+	dir := t.TempDir()
+	files, err := filepath.Glob(filepath.Join(sample("kumomaru"), "*.yaml"))
+	assert.NilError(t, err)
+	for _, f := range files {
+		body, err := os.ReadFile(f)
+		assert.NilError(t, err)
+		switch filepath.Base(f) {
+		case "rules.yaml":
+			body = []byte("out-of-service: [osaka]\n")
+		case "routes.yaml":
+			body = []byte(`routes:
+  - {name: find, host: closet.example, prefix: /find/, idempotent: true, target-ms: 3000, shards: [returns-desk, warehouse-picking]}
+  - {name: far, host: closet.example, prefix: /far/, service: returns-desk, regions: [kansai]}
+`)
+		}
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, filepath.Base(f)), body, 0o600))
+	}
+	code, out, errOut := stile("check", dir)
+	assert.Equal(t, code, ExitOK, errOut)
+	assert.Assert(t, strings.Contains(out, "route far: service returns-desk has no backend server in service"), out)
+	assert.Assert(t, strings.Contains(out, "route find: its target of 3000 ms is above its timeout of 2000 ms"), out)
+	_, out, _ = stile("diff", sample("kumomaru"), dir)
+	for _, want := range []string{"is dropped: its requests will get 404", "far                         is new", "find                        changes times, what an answer holds"} {
+		assert.Assert(t, strings.Contains(out, want), out)
+	}
+}
+
 func TestCheckListsFaults(t *testing.T) {
 	f := filepath.Join(t.TempDir(), "bad.yaml")
 	assert.NilError(t, os.WriteFile(f, []byte("services:\n  - {name: x}\ncolour: red\n"), 0o600))
--- a/stile/cmds/diff.go
+++ b/stile/cmds/diff.go
@@ -1,9 +1,13 @@
 package cmds
 
 import (
+	"slices"
 	"sort"
+	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"dandelionstile/share/route"
 )
 
 func init() { register(func() command { return &diff{} }, "diff") }
@@ -29,9 +33,15 @@
 	Change string `json:"change"`
 }
 
+type shownRoute struct {
+	Route  string `json:"route"`
+	Change string `json:"change"`
+}
+
 type shownDiff struct {
 	Leafs    []shownMove    `json:"leafs"`
 	Services []shownService `json:"services"`
+	Routes   []shownRoute   `json:"routes"`
 	Safe     bool           `json:"safe"`
 }
 
@@ -49,6 +59,7 @@
 		return errors.Wrap(err, c.After)
 	}
 	s := compare(reachOf(before), reachOf(after))
+	s.Routes = compareRoutes(before.Routes, after.Routes)
 	for _, m := range s.Leafs {
 		out.line("leaf %-28s %s", m.Leaf, m.Change)
 	}
@@ -56,6 +67,9 @@
 		out.line("service %-25s slots %d -> %d, shards lost %d, left with one leaf %d",
 			v.Service, v.SlotsBefore, v.SlotsAfter, v.ShardsLost, v.ShardsSingle)
 	}
+	for _, r := range s.Routes {
+		out.line("route %-27s %s", r.Route, r.Change)
+	}
 	if s.Safe {
 		out.line("%s no shard loses its last leaf", out.paint(green, "safe:"))
 	} else {
@@ -102,6 +116,55 @@
 	return d
 }
 
+// compareRoutes tells what becomes of each route, by name.
+func compareRoutes(before, after []route.Route) []shownRoute {
+	list := []shownRoute{}
+	former := make(map[string]*route.Route, len(before))
+	for i := range before {
+		former[before[i].Name] = &before[i]
+	}
+	kept := make(map[string]bool, len(after))
+	for i := range after {
+		r := &after[i]
+		kept[r.Name] = true
+		old := former[r.Name]
+		if old == nil {
+			list = append(list, shownRoute{r.Name, "is new"})
+			continue
+		}
+		if fields := changedFields(old, r); len(fields) > 0 {
+			list = append(list, shownRoute{r.Name, "changes " + strings.Join(fields, ", ")})
+		}
+	}
+	for name := range former {
+		if !kept[name] {
+			list = append(list, shownRoute{name, "is dropped: its requests will get 404"})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Route < list[j].Route })
+	return list
+}
+
+// changedFields names what differs between two versions of a route.
+func changedFields(a, b *route.Route) []string {
+	var list []string
+	add := func(same bool, name string) {
+		if !same {
+			list = append(list, name)
+		}
+	}
+	add(a.Host == b.Host && a.Prefix == b.Prefix, "host or prefix")
+	add(a.Idempotent == b.Idempotent, "whether requests may be repeated")
+	add(a.Attempts == b.Attempts, "attempts")
+	add(a.Timeout == b.Timeout && a.Target == b.Target, "times")
+	add(a.Rank == b.Rank, "rank")
+	add(slices.Equal(a.Services, b.Services), "services")
+	add(slices.Equal(a.Shards, b.Shards), "shards")
+	add(a.Top == b.Top && a.LeastShare == b.LeastShare, "what an answer holds")
+	add(slices.Equal(a.Regions, b.Regions), "regions")
+	return list
+}
+
 func compareService(name string, before, after *serviceReach) shownService {
 	v := shownService{Service: name, SlotsAfter: after.slots}
 	if before == nil {
--- a/stile/cmds/effect.go
+++ b/stile/cmds/effect.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"dandelionstile/share/invent"
+	"dandelionstile/share/route"
 )
 
 // reach is what a configuration leaves in service.
@@ -99,9 +100,72 @@
 			}
 		}
 	}
+	return append(list, routeDangers(c)...)
+}
+
+// routeDangers lists what is valid about the routes and serves no caller, or
+// not as the operators may think.
+func routeDangers(c *invent.Config) []string {
+	var list []string
+	in := serversIn(c)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		gone := 0
+		for _, s := range r.Shards {
+			if in.count(r, s) == 0 {
+				gone++
+			}
+		}
+		if gone > 0 {
+			list = append(list, fmt.Sprintf("route %s: %d of %d shards have no backend server in service where the route may be served", r.Name, gone, len(r.Shards)))
+		}
+		if len(r.Shards)-gone < r.Least() && r.Merged() {
+			list = append(list, fmt.Sprintf("route %s: fewer than %d shards can answer: each request will be refused", r.Name, r.Least()))
+		}
+		for _, w := range r.Services {
+			if w.Weight > 0 && in.count(r, w.Service) == 0 {
+				list = append(list, fmt.Sprintf("route %s: service %s has no backend server in service where the route may be served", r.Name, w.Service))
+			}
+		}
+		if r.Target > r.Timeout {
+			list = append(list, fmt.Sprintf("route %s: its target of %d ms is above its timeout of %d ms", r.Name, r.Target, r.Timeout))
+		}
+	}
 	return list
 }
 
+// serviceIn is a service in a region.
+type serviceIn struct{ service, region string }
+
+// serverCounts counts the backend servers in service.
+type serverCounts map[serviceIn]int
+
+func serversIn(c *invent.Config) serverCounts {
+	regions := make(map[string]string, len(c.Inventory.Domains))
+	for _, d := range c.Inventory.Domains {
+		regions[d.Name] = d.Region
+	}
+	carry := c.CarryRules()
+	n := serverCounts{}
+	for _, s := range c.Inventory.Servers {
+		if !c.DomainOut(s.Domain) && !carry[s.Name].Out {
+			n[serviceIn{s.Service, regions[s.Domain]}]++
+		}
+	}
+	return n
+}
+
+// count is how many servers of a service a route's requests may go to.
+func (n serverCounts) count(r *route.Route, service string) int {
+	sum := 0
+	for in, servers := range n {
+		if in.service == service && r.Allows(in.region) {
+			sum += servers
+		}
+	}
+	return sum
+}
+
 func sortedNames[T any](m map[string]T) []string {
 	names := make([]string, 0, len(m))
 	for n := range m {
