httpd, tier: a caller that leaves is noticed while its request is handled

Cause: nbhttp queues a connection's close behind the requests that were read on it, so the tier heard of it when the request had ended anyway. Leafs went on for callers that had left, and other hosts for a host that had given up.

Ruled out: a busy processor (0.03 of 0.25 cores), the handlers' queue (the request was admitted 66 ms before its caller left).

The end is now seen where it is read, in the event loop, and told once. A request whose caller has left before its handler had a turn asks nobody. The end of a former connection no longer hides the next one from its address.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -29,6 +29,8 @@
 	// and heardAt when the last did; bytes counts them.
 	begunAt, heardAt time.Time
 	bytes            int
+	// left is set once the caller has closed the connection.
+	left bool
 	// refusedAt is when a request that is not whole was refused; what follows on
 	// the connection is not read.
 	refusedAt time.Time
@@ -43,10 +45,39 @@
 	c.open[conn.RemoteAddr().String()] = &openConn{conn: conn, freed: time.Now()}
 }
 
-func (c *conns) closed(conn net.Conn) {
+// left records that a connection's caller has closed it, and tells whether that
+// is news. The connection's requests may still be handled.
+func (c *conns) left(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.open, conn.RemoteAddr().String())
+	o := c.open[conn.RemoteAddr().String()]
+	if o == nil || o.conn != conn || o.left {
+		return false
+	}
+	o.left = true
+	return true
+}
+
+// closed forgets a connection once its last request has been handled, and tells
+// whether its end is news. Its address may be another connection's by then.
+func (c *conns) closed(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	remote := conn.RemoteAddr().String()
+	o := c.open[remote]
+	if o == nil || o.conn != conn {
+		return false
+	}
+	delete(c.open, remote)
+	return !o.left
+}
+
+// gone tells whether the caller on a connection has closed it.
+func (c *conns) gone(remote string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.open[remote]
+	return o != nil && o.left
 }
 
 // take records that a request has been read whole. It is called before the
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,8 +58,8 @@
 	MaxConns int
 	// Limits are in force until SetLimits replaces them.
 	Limits Limits
-	// Closed is told the remote address of each connection that has ended; it
-	// may be nil.
+	// Closed is told the remote address of each connection that has ended, also
+	// while a request on it is handled; it may be nil.
 	Closed func(remote string)
 	// Refused is told of each request outside the limits, which its handler does
 	// not see; it may be nil.
@@ -70,6 +71,7 @@
 	active  sync.WaitGroup
 	conns   conns
 	limits  atomic.Pointer[Limits]
+	buffers sync.Pool
 	stop    chan struct{}
 	swept   chan struct{}
 }
@@ -98,16 +100,11 @@
 		OnRequest: func(_ http.ResponseWriter, r *http.Request) { s.conns.take(r.RemoteAddr) },
 		Listen:    func(string, string) (net.Listener, error) { return ln, nil },
 	})
-	s.engine.OnData(func(c *nbio.Conn, data []byte) {
-		if s.read(c, len(data)) {
-			c.DataHandler()(c, data)
-		}
-	})
+	s.engine.OnRead(s.readable)
 	s.engine.OnOpen(s.conns.opened)
 	s.engine.OnClose(func(c net.Conn, _ error) {
-		s.conns.closed(c)
-		if s.Closed != nil {
-			s.Closed(c.RemoteAddr().String())
+		if s.conns.closed(c) {
+			s.ended(c)
 		}
 	})
 	s.started = time.Now()
@@ -144,6 +141,58 @@
 	}
 }
 
+// readSize is how many bytes are read of a connection at once.
+const readSize = 32 << 10
+
+// readable reads what a connection has, in its event loop. The library tells of
+// a connection's end only once the requests that were read on it have been
+// handled, which is too late to stop the work for a caller that has left: the
+// end is seen here.
+func (s *Server) readable(c *nbio.Conn) {
+	buf := s.buffer()
+	defer s.buffers.Put(buf)
+	for {
+		n, err := c.Read(*buf)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err != nil || n == 0:
+			if s.conns.left(c) {
+				s.ended(c)
+			}
+			_ = c.CloseWithError(io.EOF) // it has ended already
+			return
+		}
+		if s.read(c, n) {
+			c.DataHandler()(c, (*buf)[:n])
+		}
+		if n < len(*buf) {
+			return
+		}
+	}
+}
+
+func (s *Server) buffer() *[]byte {
+	if b, ok := s.buffers.Get().(*[]byte); ok {
+		return b
+	}
+	b := make([]byte, readSize)
+	return &b
+}
+
+// ended tells that a connection has ended.
+func (s *Server) ended(c net.Conn) {
+	if s.Closed != nil {
+		s.Closed(c.RemoteAddr().String())
+	}
+}
+
+// Gone tells whether the caller on a connection has closed it while a request on
+// it is handled. Closed is told after Gone says so.
+func (s *Server) Gone(remote string) bool { return s.conns.gone(remote) }
+
 // read takes bytes into account and tells whether they are to be read.
 func (s *Server) read(conn net.Conn, n int) bool {
 	status, read := s.conns.heard(conn.RemoteAddr().String(), n, *s.limits.Load())
--- a/share/tier/callers.go
+++ b/share/tier/callers.go
@@ -10,6 +10,7 @@
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
 	"dandelionstile/share/hop"
+	"dandelionstile/share/httpd"
 	"dandelionstile/share/mirror"
 	"dandelionstile/share/router"
 	"dandelionstile/share/topk"
@@ -87,7 +88,7 @@
 
 // serve takes one caller's request and writes its answer.
 func (t *Tier) serve(w http.ResponseWriter, r *http.Request) {
-	t.take(w, r, router.Arrive{Wait: t.wait(r), Remote: r.RemoteAddr})
+	t.take(&t.server, w, r, router.Arrive{Wait: t.wait(r), Remote: r.RemoteAddr})
 }
 
 // serveRelayed takes a request that another host has from a caller, or one for
@@ -113,14 +114,15 @@
 	r.Header.Del(hop.HeaderRelayShards)
 	r.Header.Del(hop.HeaderRelayTarget)
 	r.Header.Del(hop.HeaderRelayVersion)
-	t.take(w, r, router.Arrive{
+	t.take(&t.relays, w, r, router.Arrive{
 		Wait: t.wait(r), Remote: r.RemoteAddr, Relayed: true, Shards: shards, Target: clock.Milli(target), Version: version,
 		Late: late,
 	})
 }
 
-// take has a request decided on and writes its answer.
-func (t *Tier) take(w http.ResponseWriter, r *http.Request, a router.Arrive) {
+// take has a request decided on that came to one of the servers, and writes its
+// answer.
+func (t *Tier) take(server *httpd.Server, w http.ResponseWriter, r *http.Request, a router.Arrive) {
 	began := t.Clock.Now()
 	t.busy.Add(1)
 	defer t.busy.Add(-1)
@@ -144,6 +146,10 @@
 	a.Request = request
 	waiting := t.callers.add(a.Query, r.RemoteAddr)
 	defer t.callers.remove(a.Query, r.RemoteAddr)
+	if server.Gone(r.RemoteAddr) {
+		// The caller left before its request had a turn: nothing is asked for it.
+		return
+	}
 	t.post(a)
 	answer := <-waiting
 	if a.Relayed {
--- a/share/tier/tier_test.go
+++ b/share/tier/tier_test.go
@@ -19,6 +19,7 @@
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/hop"
+	"dandelionstile/share/httpd"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/route"
 	"dandelionstile/share/router"
@@ -81,8 +82,10 @@
 	in   *bufio.Reader
 }
 
-func (r *rig) dial() *raw {
-	conn, err := net.Dial("tcp", r.tier.Addr())
+func (r *rig) dial() *raw { return r.dialTo(r.tier.Addr()) }
+
+func (r *rig) dialTo(address string) *raw {
+	conn, err := net.Dial("tcp", address)
 	assert.NilError(r.t, err)
 	r.t.Cleanup(func() { _ = conn.Close() })
 	assert.NilError(r.t, conn.SetDeadline(time.Now().Add(10*time.Second)))
@@ -212,8 +215,9 @@
 	assert.Equal(t, first.Body+second.Body, "q1q2")
 }
 
-// The caller closes its connection while a leaf works. The leaf's connection is
-// closed soon after, so that it can stop.
+// A caller waits for eight seconds at most, and closes its connection while a leaf
+// works. The leaf's connection is closed within half a second, long before the
+// request would have ended by itself, so that the leaf can stop.
 func TestLeafIsToldThatTheCallerLeft(t *testing.T) {
 	r := newRig(t)
 	began, stopped := make(chan struct{}), make(chan struct{})
@@ -224,12 +228,39 @@
 	})
 	r.open()
 	c := r.dial()
-	c.say(get("/one/x", "q1"))
+	c.say(strings.Replace(get("/one/x", "q1"), "1500", "8000", 1))
+	<-began
+	assert.NilError(t, c.conn.Close())
+	select {
+	case <-stopped:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the leaf still works")
+	}
+}
+
+// A caller leaves while its query waits for a slow shard, and its host has handed
+// shards to another one. That host's part of the work ends as well: its caller is
+// the first host, which closes the connection between them.
+func TestRelayedWorkEndsWithTheCaller(t *testing.T) {
+	r := newRig(t)
+	began, stopped := make(chan struct{}), make(chan struct{})
+	r.leaf("s0", func(_ http.ResponseWriter, q *http.Request) {
+		close(began)
+		<-q.Context().Done()
+		close(stopped)
+	})
+	r.leaf("s1", func(w http.ResponseWriter, q *http.Request) { sign(w, q, "0123456789abcdef") })
+	r.open()
+	r.tier.relays = httpd.Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(r.tier.serveRelayed), Closed: r.tier.callerClosed}
+	assert.NilError(t, r.tier.relays.Start())
+	c := r.dialTo(r.tier.relays.Addr())
+	c.say("GET /all/x HTTP/1.1\nHost: h\nRequest-Id: q1\nDeadline-Ms: 8000\n" +
+		hop.HeaderRelayTarget + ": 7000\n" + hop.HeaderRelayVersion + ": 1\n" + hop.HeaderRelayShards + ": s0\n\n")
 	<-began
 	assert.NilError(t, c.conn.Close())
 	select {
 	case <-stopped:
-	case <-time.After(5 * time.Second):
+	case <-time.After(500 * time.Millisecond):
 		t.Fatal("the leaf still works")
 	}
 }
