router, httpd, soak: harmful requests told from popular ones; callers that leave

Cause: a request that many callers send is in flight at each leaf that dies; three such leafs made it 'harmful' on all hosts, and each resend renewed that. Ruled out: the leafs (all were back). What leafs have answered well in the last ten to twenty seconds is not blamed, and a good answer takes blame back. A request that brings down each leaf that begins it never has one.

One request brought down 20 leafs. Cause: a leaf is found gone when the next request is refused by it within 1.5 s, but a leaf that broke a call is avoided. A broken call is now followed by a knock, one in 500 ms and leaf.

A host that was stopped handled a request whose caller had left meanwhile. It now reads all there is before it handles anything.

--- a/share/hop/hop_test.go
+++ b/share/hop/hop_test.go
@@ -312,3 +312,24 @@
 	assert.Assert(t, !c.alive(now.Now()))
 	c.shut()
 }
+
+// A call broke. Whether its leaf went down with it shows a knock: where nobody
+// listens the leaf is told absent; where somebody does, nothing is told.
+func TestKnockTellsOnlyOfAbsentLeafs(t *testing.T) {
+	absent := make(chan router.Absent, 2)
+	p := &Pool{Dialect: Own, Clock: clock.Wall{}, Absent: func(a router.Absent) { absent <- a }}
+	here := serve(t, func(net.Conn, *bufio.Reader) {})
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p.Knock(router.Knock{Leaf: "here", Address: here.ln.Addr().String()})
+	assert.NilError(t, gone.Close())
+	p.Knock(router.Knock{Leaf: "gone", Address: gone.Addr().String()})
+	select {
+	case a := <-absent:
+		assert.Equal(t, a.Leaf, "gone")
+	case <-time.After(patience):
+		t.Fatal("not told")
+	}
+	assert.NilError(t, p.Close())
+	assert.Equal(t, len(absent), 0)
+}
--- a/share/hop/pool.go
+++ b/share/hop/pool.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,10 +32,11 @@
 	// the system.
 	Source string
 	Clock  clock.Clock
-	// Report takes the end of a call, and Probed that of a probe, from any
-	// goroutine.
+	// Report takes the end of a call, Probed that of a probe, and Absent the
+	// news that a knock found nobody, from any goroutine.
 	Report func(router.Done)
 	Probed func(router.Probed)
+	Absent func(router.Absent)
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by leaf, or by address of another host
@@ -127,6 +129,27 @@
 	})
 }
 
+// Knock opens a connection to a leaf, and closes it, to see whether anybody
+// listens there. A connection that is not answered tells nothing: the way may be
+// cut.
+func (p *Pool) Knock(k router.Knock) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.wait.Go(func() {
+		n, err := p.dial(context.Background(), k.Address)
+		if err == nil {
+			_ = n.Close() // nothing was sent
+			return
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.Absent(router.Absent{Leaf: k.Leaf})
+		}
+	})
+}
+
 // healthy tells whether the leaf itself, and not another at its address, says
 // that it is well. Whatever else comes back counts as not.
 func (p *Pool) healthy(ctx context.Context, a router.Probe) bool {
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -3,6 +3,7 @@
 package httpd
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net"
@@ -45,6 +46,9 @@
 	longestIdle   = 10 * time.Minute
 	writeTimeout  = 10 * time.Second
 	handlersAtAll = 8192
+	// defaultPollers is how many event loops read connections: one more than
+	// the small hosts have cores, so that one large request holds up only some.
+	defaultPollers = 2
 )
 
 // The library logs to standard output, which belongs to the programs.
@@ -72,6 +76,8 @@
 	conns   conns
 	limits  atomic.Pointer[Limits]
 	buffers sync.Pool
+	// pollers is how many event loops read connections; 0 takes the default.
+	pollers int
 	stop    chan struct{}
 	swept   chan struct{}
 }
@@ -93,7 +99,7 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "httpd", Network: "tcp", Addrs: []string{s.addr.String()},
 		MaxLoad: conns, MaxHTTPBodySize: readLimit, ReadLimit: readLimit,
-		KeepaliveTime: longestIdle, WriteTimeout: writeTimeout, NPoller: 2, NListener: 1,
+		KeepaliveTime: longestIdle, WriteTimeout: writeTimeout, NPoller: cmp.Or(s.pollers, defaultPollers), NListener: 1,
 		MessageHandlerPoolSize: handlersAtAll,
 		Handler:                http.HandlerFunc(s.serve),
 		// Called where the request is read, before its handler has a turn.
@@ -147,25 +153,21 @@
 // readable reads what a connection has, in its event loop. The library tells of
 // a connection's end only once the requests that were read on it have been
 // handled, which is too late to stop the work for a caller that has left: the
-// end is seen here.
+// end is seen here. A host that stood still finds requests and the ends of their
+// connections together; nothing is done for those.
 func (s *Server) readable(c *nbio.Conn) {
 	buf := s.buffer()
 	defer s.buffers.Put(buf)
 	for {
-		n, err := c.Read(*buf)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-			continue
-		case errors.Is(err, syscall.EAGAIN):
-			return
-		case err != nil || n == 0:
+		n, ended := fill(c, *buf)
+		if ended {
 			if s.conns.left(c) {
 				s.ended(c)
 			}
 			_ = c.CloseWithError(io.EOF) // it has ended already
 			return
 		}
-		if s.read(c, n) {
+		if n > 0 && s.read(c, n) {
 			c.DataHandler()(c, (*buf)[:n])
 		}
 		if n < len(*buf) {
@@ -174,6 +176,24 @@
 	}
 }
 
+// fill reads until nothing is left or the buffer is full, and tells whether the
+// connection has ended.
+func fill(c *nbio.Conn, buf []byte) (n int, ended bool) {
+	for n < len(buf) {
+		got, err := c.Read(buf[n:])
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return n, false
+		case err != nil || got == 0:
+			return n, true
+		default:
+			n += got
+		}
+	}
+	return n, false
+}
+
 func (s *Server) buffer() *[]byte {
 	if b, ok := s.buffers.Get().(*[]byte); ok {
 		return b
--- a/share/httpd/httpd_test.go
+++ b/share/httpd/httpd_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"gotest.tools/v3/assert"
 )
 
@@ -103,6 +104,44 @@
 	}
 }
 
+// A host stands still while a request and the end of its connection come in, as a
+// stopped process does. Once it goes on, nothing is done for the caller that has
+// left.
+func TestRequestOfACallerThatHasLeftIsNotHandled(t *testing.T) {
+	block, blocked := make(chan struct{}), make(chan struct{})
+	handled := make(chan string, 4)
+	s := Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handled <- r.URL.Path })}
+	// With one event loop and its turn held, the server reads nothing.
+	s.pollers = 1
+	assert.NilError(t, s.Start())
+	held := s.engine.Engine
+	held.OnRead(func(c *nbio.Conn) {
+		select {
+		case <-blocked:
+		default:
+			close(blocked)
+			<-block
+		}
+		s.readable(c)
+	})
+	first, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	_, err = first.Write([]byte("GET /stays HTTP/1.1\r\nHost: h\r\n\r\n"))
+	assert.NilError(t, err)
+	<-blocked
+	second, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	_, err = second.Write([]byte("GET /leaves HTTP/1.1\r\nHost: h\r\n\r\n"))
+	assert.NilError(t, err)
+	assert.NilError(t, second.Close())
+	time.Sleep(50 * time.Millisecond) // the end crosses loopback
+	close(block)
+	assert.Equal(t, <-handled, "/stays")
+	assert.NilError(t, first.Close())
+	assert.NilError(t, s.Close())
+	assert.Equal(t, len(handled), 0, "the request was handled")
+}
+
 // A caller opens a connection from the address of its former one, whose end is
 // still in the library's queue. The former's end must not hide the new one.
 func TestEndOfAFormerConnectionSparesTheNextFromItsAddress(t *testing.T) {
--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -31,7 +31,8 @@
 		return
 	}
 	q.route = r
-	if e.crashes.blocked(now, a.Request) {
+	q.print = fingerprint(a.Request)
+	if e.crashes.blocked(now, q.print) {
 		e.refuse(now, q, Harmful, "leafs went down under it")
 		return
 	}
--- a/share/router/crash.go
+++ b/share/router/crash.go
@@ -11,7 +11,10 @@
 // a request takes down one leaf after the other for as long as its caller has
 // patience. A host that sees a leaf go down under requests tells the others
 // which ones they were; a request that was at several leafs as they went down
-// is refused everywhere for a while.
+// is refused everywhere for a while. A request that leafs have answered well of
+// late is not blamed: where many callers send the same, some are at each leaf
+// that dies of something else, and once refused, such a request would be refused
+// for as long as callers go on sending it.
 
 // Strike says that a request was at a leaf when it went down.
 type Strike struct {
@@ -39,11 +42,22 @@
 	// to be refused. Two may be chance where leafs die of other causes with
 	// many requests on them.
 	crashLeafs = 3
+	// knockPause is the least time between two knocks at one leaf: where many
+	// answers are lost, one new connection tells as much as many.
+	knockPause clock.Milli = 500
 	// crashMemory is how long strikes count, and a request is refused after
 	// the last.
 	crashMemory = 60 * clock.Second
 	// mostStrikes bounds the memory; beyond it new strikes are not kept.
 	mostStrikes = 4096
+	// wellMemory is how long an answer at least speaks for a request, and at most
+	// twice as long. It is several times crashSpan, so that what was answered
+	// before a leaf is found down still counts; and short, for a request that new
+	// leafs cannot bear any more.
+	wellMemory = 10 * clock.Second
+	// mostWell bounds the memory for answered requests; with more in wellMemory
+	// each speaks for a shorter time.
+	mostWell = 4096
 	// tellMost is how many strikes one event passes on.
 	tellMost = 16
 )
@@ -55,6 +69,10 @@
 	// seen are the strikes by fingerprint and leaf, with when they were seen.
 	seen  map[uint64]map[string]clock.Milli
 	count int
+	// well are the fingerprints that were answered well since turned, and
+	// formerly those of the time before.
+	well, formerly map[uint64]bool
+	turned         clock.Milli
 }
 
 type brokenCall struct {
@@ -67,7 +85,7 @@
 }
 
 // broke notes a call that broke; it is a strike once the leaf is known gone.
-func (c *crashes) broke(now clock.Milli, leaf string, r *call.Request) {
+func (c *crashes) broke(now clock.Milli, leaf string, print uint64) {
 	if c.broken == nil {
 		c.broken = map[string][]brokenCall{}
 	}
@@ -75,14 +93,14 @@
 	for len(list) > 0 && now-list[0].at > crashSpan {
 		list = list[1:]
 	}
-	c.broken[leaf] = append(list, brokenCall{fingerprint(r), now})
+	c.broken[leaf] = append(list, brokenCall{print, now})
 }
 
 // down takes a leaf as gone and returns the strikes that follow from it.
 func (c *crashes) down(now clock.Milli, leaf string) []Strike {
 	var list []Strike
 	for _, b := range c.broken[leaf] {
-		if now-b.at <= crashSpan && c.add(now, b.fingerprint, leaf) && len(list) < tellMost {
+		if now-b.at <= crashSpan && !c.proven(now, b.fingerprint) && c.add(now, b.fingerprint, leaf) && len(list) < tellMost {
 			list = append(list, Strike{Fingerprint: b.fingerprint, Leaf: leaf})
 		}
 	}
@@ -90,6 +108,36 @@
 	return list
 }
 
+// answered records that a leaf has answered a request well, which takes back
+// what it was blamed for.
+func (c *crashes) answered(now clock.Milli, print uint64) {
+	c.turn(now)
+	if c.well == nil {
+		c.well = map[uint64]bool{}
+	}
+	c.well[print] = true
+	c.count -= len(c.seen[print])
+	delete(c.seen, print)
+}
+
+// proven tells whether leafs have answered a request well of late.
+func (c *crashes) proven(now clock.Milli, print uint64) bool {
+	c.turn(now)
+	return c.well[print] || c.formerly[print]
+}
+
+// turn forgets what was answered long ago.
+func (c *crashes) turn(now clock.Milli) {
+	age := now - c.turned
+	if age < wellMemory && len(c.well) < mostWell {
+		return
+	}
+	c.formerly, c.well, c.turned = c.well, nil, now
+	if age >= 2*wellMemory {
+		c.formerly = nil
+	}
+}
+
 // add keeps a strike and tells whether it was new.
 func (c *crashes) add(at clock.Milli, print uint64, leaf string) bool {
 	if c.seen == nil {
@@ -110,11 +158,7 @@
 
 // blocked tells whether a request is refused. One that comes again while it is
 // refused is refused for longer.
-func (c *crashes) blocked(now clock.Milli, r *call.Request) bool {
-	if len(c.seen) == 0 {
-		return false
-	}
-	print := fingerprint(r)
+func (c *crashes) blocked(now clock.Milli, print uint64) bool {
 	leafs := c.seen[print]
 	newest := clock.Milli(0)
 	for _, at := range leafs {
@@ -138,7 +182,7 @@
 func (e *Engine) strikes(now clock.Milli, s Strikes) {
 	var news []Strike
 	for _, one := range s.List {
-		if one.Age < crashMemory && e.crashes.add(now-one.Age, one.Fingerprint, one.Leaf) {
+		if one.Age < crashMemory && !e.crashes.proven(now, one.Fingerprint) && e.crashes.add(now-one.Age, one.Fingerprint, one.Leaf) {
 			news = append(news, one)
 		}
 	}
@@ -147,6 +191,28 @@
 	}
 }
 
+// knock finds out whether a leaf went down with the call that just broke. The
+// next request to it would show so, but a leaf that failed is avoided, and a
+// request that is sent once in a while would bring down many leafs before three
+// of them were seen to be gone in time.
+func (e *Engine) knock(now clock.Milli, f *leaf) {
+	if f.removed || now < f.knockAt {
+		return
+	}
+	f.knockAt = now + knockPause
+	e.do(Knock{Leaf: f.ID, Address: f.Address})
+}
+
+// absent takes word that nobody listens at a leaf's address.
+func (e *Engine) absent(now clock.Milli, a Absent) {
+	f := e.leafs[a.Leaf]
+	if f == nil {
+		return
+	}
+	e.leafDown(now, f)
+	e.strike(now, f, 1, "nobody listens", 0)
+}
+
 // leafDown is called when nobody listens at a leaf's address any more.
 func (e *Engine) leafDown(now clock.Milli, f *leaf) {
 	list := e.crashes.down(now, f.ID)
--- a/share/router/crash_test.go
+++ b/share/router/crash_test.go
@@ -77,3 +77,130 @@
 	_, refused := r.answers[q]
 	assert.Assert(t, !refused)
 }
+
+// A request brings down each leaf that runs it and is sent once in a while. No
+// other request follows to the leafs that went down, which are avoided: a knock
+// finds each of them gone, or the request would never be told from one whose
+// answers are lost.
+func TestLeafThatWentDownIsFoundGoneByAKnock(t *testing.T) {
+	r := crashRig(t)
+	for range crashLeafs {
+		r.arrive("/one/bad", 4000)
+		s := r.last()
+		r.ends(s, call.Broken)
+		var knocks []Knock
+		for _, a := range r.engine.actions {
+			if k, ok := a.(Knock); ok {
+				knocks = append(knocks, k)
+			}
+		}
+		assert.DeepEqual(t, knocks, []Knock{{Leaf: s.Leaf, Address: s.Address}})
+		r.handle(Absent{Leaf: s.Leaf})
+		r.pass(3000)
+	}
+	q := r.arrive("/one/bad", 4000)
+	assert.Equal(t, r.answers[q].Refusal, Harmful)
+}
+
+// Half of all answers are lost for a while. A leaf is knocked at now and then, not
+// once for each.
+func TestLostAnswersCauseFewKnocks(t *testing.T) {
+	r := crashRig(t)
+	knocks := 0
+	for range 200 {
+		r.arrive("/one/x", 4000)
+		r.ends(r.last(), call.Broken)
+		for _, a := range r.engine.actions {
+			if _, ok := a.(Knock); ok {
+				knocks++
+			}
+		}
+		r.pass(10)
+	}
+	most := 8 * (200*10/int(knockPause) + 1)
+	assert.Assert(t, knocks <= most, "%d knocks at 8 leafs in two seconds, at most %d", knocks, most)
+}
+
+// Many callers send the same request, and leafs answer it well. Then four leafs
+// die of something else, each with one of these requests on it, one after the
+// other or all at once. The request goes on being served: blamed for the leafs,
+// it would be refused for as long as callers go on sending it.
+func TestPopularRequestIsNotBlamedForLeafsThatDie(t *testing.T) {
+	t.Run("one after the other", func(t *testing.T) {
+		r := crashRig(t)
+		for range crashLeafs + 1 {
+			r.arrive("/one/popular", 4000)
+			r.good(r.last())
+			r.arrive("/one/popular", 4000)
+			r.down(r.last())
+			r.pass(500)
+		}
+		r.servesPopular()
+	})
+	t.Run("at once", func(t *testing.T) {
+		r := crashRig(t)
+		r.arrive("/one/popular", 4000)
+		r.good(r.last())
+		var sends []Send
+		at := map[string]bool{}
+		for len(at) <= crashLeafs {
+			r.arrive("/one/popular", 4000)
+			sends = append(sends, r.last())
+			at[r.last().Leaf] = true
+		}
+		for _, s := range sends {
+			if !r.engine.leafs[s.Leaf].suspect {
+				r.down(s)
+			}
+		}
+		r.servesPopular()
+	})
+	t.Run("told by another host", func(t *testing.T) {
+		r := crashRig(t)
+		r.arrive("/one/popular", 4000)
+		r.good(r.last())
+		r.handle(Strikes{List: strikesOf("/one/popular", 5)})
+		r.servesPopular()
+	})
+	t.Run("answered after the blame", func(t *testing.T) {
+		r := crashRig(t)
+		r.arrive("/one/popular", 4000)
+		open := r.last()
+		r.handle(Strikes{List: strikesOf("/one/popular", 5)})
+		r.good(open)
+		r.servesPopular()
+	})
+}
+
+// A request was served well until its leafs were replaced by a version that it
+// brings down. What it was before protects it only for a while.
+func TestRequestThatTurnsHarmfulIsRefused(t *testing.T) {
+	r := crashRig(t)
+	r.arrive("/one/x", 4000)
+	r.good(r.last())
+	r.pass(2*wellMemory + 1)
+	for range crashLeafs {
+		r.arrive("/one/x", 4000)
+		r.down(r.last())
+	}
+	q := r.arrive("/one/x", 4000)
+	assert.Equal(t, r.answers[q].Refusal, Harmful)
+}
+
+// strikesOf are another host's strikes for a request.
+func strikesOf(path string, leafs int) []Strike {
+	print := fingerprint(&call.Request{Method: "GET", Host: "h", Target: path})
+	var list []Strike
+	for i := range leafs {
+		list = append(list, Strike{Fingerprint: print, Leaf: fmt.Sprintf("elsewhere-%d", i), Age: 100})
+	}
+	return list
+}
+
+// servesPopular checks that the popular request is sent to a leaf.
+func (r *rig) servesPopular() {
+	r.t.Helper()
+	sent := len(r.sends)
+	q := r.arrive("/one/popular", 4000)
+	assert.Equal(r.t, len(r.sends), sent+1, "refused: %v", r.answers[q].Refusal)
+}
--- a/share/router/done.go
+++ b/share/router/done.go
@@ -42,6 +42,7 @@
 	case d.Kind == call.Answered && d.Reply.Good():
 		f.observe(now, took)
 		e.regions[f.region].observe(took)
+		e.answered(now, a.shard.query)
 		if f.replied(now) {
 			e.do(Note{Kind: NoteLeafTrusted, Leaf: f.ID, Service: f.Service, Cause: "it answered", Took: now - a.sent})
 		}
@@ -62,11 +63,20 @@
 		e.leafDown(now, f)
 		e.strike(now, f, 1, d.Cause, now-a.sent)
 	default:
-		e.crashes.broke(now, f.ID, a.shard.query.request)
+		e.crashes.broke(now, f.ID, a.shard.query.print)
+		e.knock(now, f)
 		e.strike(now, f, brokenAfter, d.Cause, now-a.sent)
 	}
 }
 
+// answered lets a good reply speak for a request, once for each query.
+func (e *Engine) answered(now clock.Milli, q *query) {
+	if !q.well {
+		q.well = true
+		e.crashes.answered(now, q.print)
+	}
+}
+
 func (e *Engine) strike(now clock.Milli, f *leaf, most int, cause string, took clock.Milli) {
 	if f.failed(now, most) && !f.removed {
 		e.do(Note{Kind: NoteLeafSuspect, Leaf: f.ID, Service: f.Service, Cause: cause, Took: took})
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -90,6 +90,8 @@
 		e.strikes(now, ev)
 	case Probed:
 		e.probed(now, ev)
+	case Absent:
+		e.absent(now, ev)
 	case Tick:
 	}
 	e.ring(now)
--- a/share/router/leaf.go
+++ b/share/router/leaf.go
@@ -36,6 +36,8 @@
 	strikes int
 	suspect bool
 	probeAt clock.Milli
+	// knockAt is when a broken call may next be followed by a knock.
+	knockAt clock.Milli
 	// relapses counts how often in a row the leaf became suspect again soon
 	// after its health check had cleared it.
 	relapses  int
--- a/share/router/query.go
+++ b/share/router/query.go
@@ -11,6 +11,10 @@
 type query struct {
 	id      uint64
 	request *call.Request
+	// print is the request's fingerprint, and well is set once a leaf has
+	// answered it well.
+	print   uint64
+	well    bool
 	route   *route.Route
 	version uint64
 	arrived clock.Milli
--- a/share/router/relay.go
+++ b/share/router/relay.go
@@ -99,6 +99,7 @@
 	q := r.query
 	q.ran = true
 	if reply.Stamp != "" {
+		e.answered(now, q)
 		q.merged = append(q.merged, reply)
 	}
 	missing := make(map[string]bool, len(reply.Missing))
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -78,11 +78,15 @@
 	Healthy bool
 }
 
+// Absent says that nobody listens at a leaf's address.
+type Absent struct{ Leaf string }
+
 // Tick says that the time of Next has come.
 type Tick struct{}
 
 func (Arrive) event() {}
 func (Gone) event()   {}
+func (Absent) event() {}
 func (Done) event()   {}
 func (Facts) event()  {}
 func (Peers) event()  {}
@@ -128,6 +132,13 @@
 	Path    string
 }
 
+// Knock finds out whether anybody listens at a leaf's address; only Absent is
+// told.
+type Knock struct {
+	Leaf    string
+	Address string
+}
+
 // Answer ends a request. Exactly one comes for each that arrived and whose
 // caller is still there.
 type Answer struct {
@@ -280,5 +291,6 @@
 func (Send) action()   {}
 func (Cancel) action() {}
 func (Probe) action()  {}
+func (Knock) action()  {}
 func (Answer) action() {}
 func (Note) action()   {}
--- a/share/tier/tier.go
+++ b/share/tier/tier.go
@@ -77,7 +77,7 @@
 	t.events = make(chan router.Event, queueLength)
 	t.stop = make(chan struct{})
 	t.stopped = make(chan struct{})
-	t.pool = hop.Pool{Dialect: t.Settings.Dialect, Source: t.Settings.Source, Clock: t.Clock, Report: t.report, Probed: t.probed}
+	t.pool = hop.Pool{Dialect: t.Settings.Dialect, Source: t.Settings.Source, Clock: t.Clock, Report: t.report, Probed: t.probed, Absent: t.absent}
 	t.server = httpd.Server{
 		Address: t.Settings.Callers, Handler: http.HandlerFunc(t.serve),
 		Closed: t.callerClosed, Refused: t.refusedUnread,
@@ -131,6 +131,8 @@
 
 func (t *Tier) probed(p router.Probed) { t.post(p) }
 
+func (t *Tier) absent(a router.Absent) { t.post(a) }
+
 func (t *Tier) post(e router.Event) {
 	select {
 	case t.events <- e:
@@ -191,6 +193,8 @@
 			t.pool.Warm(a.Address)
 		case router.Probe:
 			t.pool.Probe(a)
+		case router.Knock:
+			t.pool.Knock(a)
 		case router.Answer:
 			t.callers.answer(a)
 		case router.Tell:
--- a/soak/play/check.go
+++ b/soak/play/check.go
@@ -41,6 +41,8 @@
 type seen struct {
 	runs     int
 	arrivals map[string]int // by service
+	reached  []fake.Run
+	worked   []fake.Run
 }
 
 // evaluate checks what can be told only at the end.
@@ -58,10 +60,14 @@
 	for _, l := range w.leafs {
 		arrivals, runs := l.Seen()
 		for _, a := range arrivals {
-			at(a.Request).arrivals[l.Service]++
+			s := at(a.Request)
+			s.arrivals[l.Service]++
+			s.reached = append(s.reached, a)
 		}
 		for _, r := range runs {
-			at(r.Request).runs++
+			s := at(r.Request)
+			s.runs++
+			s.worked = append(s.worked, r)
 		}
 		w.checkDrain(l, arrivals)
 	}
@@ -71,6 +77,8 @@
 	for _, r := range w.checks.requests {
 		w.checkRequest(r, at(r.id))
 	}
+	w.checkGone(all)
+	w.checkHarmful(all)
 	w.checkBudget(extra)
 	w.checkRecovery()
 }
@@ -83,7 +91,7 @@
 	if unsafe && r.status == http.StatusServiceUnavailable && s.runs > 0 {
 		w.checks.fault("REFUSED: %s was said not to have run", r.id)
 	}
-	if r.status != 0 || r.host.otherwise(r) {
+	if r.status != 0 || r.left || r.host.otherwise(r) {
 		return
 	}
 	took := r.ended.Sub(r.sent)
@@ -199,6 +207,9 @@
 		if r.sent.Before(from) {
 			continue
 		}
+		if r.left {
+			continue
+		}
 		all++
 		if r.status == http.StatusOK {
 			good++
--- a/soak/play/client.go
+++ b/soak/play/client.go
@@ -24,6 +24,9 @@
 	late = 1500 * time.Millisecond
 	// attempts is how often a caller tries, as callers of the platform do.
 	attempts = 2
+	// One request in so many is left by its caller, within leaveMost.
+	leaveOneIn = 12
+	leaveMost  = 150 * time.Millisecond
 )
 
 // caller keeps a connection to one host, as long as that lasts.
@@ -45,6 +48,7 @@
 	ended    time.Time
 	status   int // 0: closed without an answer
 	reused   bool
+	left     bool // the caller closed the connection at ended, without waiting
 }
 
 func (c *caller) run(gap time.Duration) {
@@ -62,6 +66,10 @@
 // ask makes a request, again elsewhere if it was refused or lost.
 func (c *caller) ask() {
 	path := []string{"/all/x", "/all/y", "/one/x", "/set/x"}[c.rand.IntN(4)]
+	if c.rand.IntN(leaveOneIn) == 0 {
+		c.leave(path)
+		return
+	}
 	for range attempts {
 		r := c.try(path)
 		if r == nil {
@@ -79,6 +87,28 @@
 	}
 }
 
+// leave makes a request and closes the connection before its answer.
+func (c *caller) leave(path string) {
+	if c.conn == nil && !c.connect() {
+		return
+	}
+	r := c.next(path)
+	if _, err := io.WriteString(c.conn, fake.RequestText(hostName, path, r.id, callerWait)); err != nil {
+		c.drop()
+		return // the host was gone
+	}
+	time.Sleep(time.Duration(c.rand.Int64N(int64(leaveMost))))
+	c.drop()
+	r.ended, r.left = time.Now(), true
+	c.world.checks.add(r)
+}
+
+// next is the next attempt.
+func (c *caller) next(path string) *request {
+	c.count++
+	return &request{id: fmt.Sprintf("%s-%d", c.name, c.count), path: path, host: c.host, sent: time.Now()}
+}
+
 func (c *caller) drop() {
 	if c.conn != nil {
 		_ = c.conn.Close() // its end is told by the next read
@@ -92,8 +122,8 @@
 	if !reused && !c.connect() {
 		return nil
 	}
-	c.count++
-	r := &request{id: fmt.Sprintf("%s-%d", c.name, c.count), path: path, host: c.host, sent: time.Now(), reused: reused}
+	r := c.next(path)
+	r.reused = reused
 	_ = c.conn.SetDeadline(r.sent.Add(callerWait + late)) // an open connection takes it
 	_, err := io.WriteString(c.conn, fake.RequestText(hostName, path, r.id, callerWait))
 	var got reply
--- a/soak/play/fault.go
+++ b/soak/play/fault.go
@@ -1,8 +1,10 @@
 package play
 
 import (
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -45,6 +47,9 @@
 		})
 	}
 	time.Sleep(time.Until(w.begin.Add(warmUp)))
+	if w.Seed%3 == 0 {
+		w.wait.Go(w.harm)
+	}
 	faults := w.trouble()
 	time.Sleep(heal + calm)
 	close(w.stop)
@@ -91,7 +96,7 @@
 	(*world).storeMode, (*world).forget, (*world).cutStore, (*world).cutStore,
 	(*world).leafMode, (*world).leafMode, (*world).leafMode, (*world).cutLeafs, (*world).cutLeafs,
 	(*world).crashLeaf, (*world).drainLeaf, (*world).drainLeaf, (*world).slowSome, (*world).slowSome,
-	(*world).change, (*world).change,
+	(*world).change, (*world).change, (*world).stall, (*world).stall,
 }
 
 func (w *world) pickHost(pick uint64) *host { return w.hosts[pick%uint64(len(w.hosts))] }
@@ -266,13 +271,7 @@
 	case 1:
 		met = w.leafsOf(met[0].Service)
 	}
-	for _, l := range met {
-		l.SetMode(leafModes[pick>>8%uint64(len(leafModes))])
-	}
-	time.Sleep(span)
-	for _, l := range met {
-		l.SetMode(fake.LeafMode{})
-	}
+	w.mode(met, leafModes[pick>>8%uint64(len(leafModes))], span)
 }
 
 // slowSome makes one leaf of each service slow at once: hosts want a second call
@@ -286,10 +285,29 @@
 		}
 	}
 	w.mu.Unlock()
+	w.mode(slices.Collect(maps.Values(met)), fake.LeafMode{Work: 250 * time.Millisecond}, span)
+}
+
+// stall makes every second request at every leaf of the shards slow, until the
+// faults end or for longest twice over: second calls are wanted for half of all
+// calls, at whatever leaf, and only the budget holds them back.
+func (w *world) stall(uint64, time.Duration) {
+	w.mu.Lock()
+	leafs := append([]*leaf(nil), w.leafs...)
+	w.mu.Unlock()
+	w.mode(leafs, fake.LeafMode{Stall: 0.5}, min(2*longest, time.Until(w.begin.Add(warmUp+w.For))))
+}
+
+// mode has leafs misbehave for a while.
+func (w *world) mode(met []*leaf, m fake.LeafMode, span1 time.Duration) {
+	now := time.Now()
+	w.mu.Lock()
+	w.stalls = append(w.stalls, span{now, now.Add(span1)})
+	w.mu.Unlock()
 	for _, l := range met {
-		l.SetMode(fake.LeafMode{Work: 250 * time.Millisecond})
+		l.SetMode(m)
 	}
-	time.Sleep(span)
+	time.Sleep(span1)
 	for _, l := range met {
 		l.SetMode(fake.LeafMode{})
 	}
@@ -313,7 +331,7 @@
 	w.mu.Lock()
 	l.gone = true
 	w.mu.Unlock()
-	_ = l.Close() // it is meant to break
+	w.end(l)
 	time.Sleep(span)
 	w.store.Delete(fake.KeyLeaf(l.ID))
 	w.replace(l)
--- a/soak/play/world.go
+++ b/soak/play/world.go
@@ -92,6 +92,8 @@
 	former    string // and of the one that goes
 	changedAt time.Time
 	storeHit  []span
+	stalls    []span      // when leafs stalled, froze or were slow
+	harms     []time.Time // when a harmful request brought a leaf down
 }
 
 func domain(i int) string { return fmt.Sprintf("d%d", i%domains) }
@@ -149,6 +151,7 @@
 	w.lastLeaf++
 	l := &leaf{Leaf: &fake.Leaf{ID: fmt.Sprintf("i-%03d", w.lastLeaf), Service: service, Domain: domain}}
 	w.mu.Unlock()
+	l.Harmed = func() { w.harmed(l) }
 	if err := l.Start("127.0.0.1"); err != nil {
 		return err
 	}
