httpd, entry: a request's context ends with its caller's connection

Cause: the entry's own form did not notice callers that leave either: their queries held slots until they were answered. The tier's callback by remote address needed a second look-up to be free of races.

A request's context now ends when its connection does, which replaces the callback and the look-up. The entry cancels the calls of a query whose caller has gone (reason caller-gone).

--- a/entry/core/core.go
+++ b/entry/core/core.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -102,6 +103,8 @@
 		run func(now clock.Milli)
 	}
 	leave struct{ done chan struct{} }
+	// left says that the caller that waits for a reply has gone.
+	left struct{ reply chan Answered }
 )
 
 // Minted is the answer to Mint.
@@ -158,6 +161,8 @@
 		c.act(now, c.fan.Tick(now))
 	case ask:
 		m.run(now)
+	case left:
+		c.left(now, m.reply)
 	case leave:
 		c.node.Leave(now)
 		close(m.done)
@@ -177,6 +182,16 @@
 	c.act(now, c.fan.Start(now, m.req))
 }
 
+// left ends the query whose caller waited for a reply.
+func (c *Core) left(now clock.Milli, reply chan Answered) {
+	for id, q := range c.queries {
+		if q.reply == reply {
+			c.act(now, c.fan.Leave(now, id))
+			return
+		}
+	}
+}
+
 // deadline is the budget of a query that names none.
 func (c *Core) deadline(service string) clock.Milli {
 	if cfg := c.fan.Config(); cfg != nil {
@@ -355,26 +370,36 @@
 // before it is answered without it.
 const slack = 2 * time.Second
 
-// Query runs a query. The budget is in milliseconds; 0 takes the service's. The
-// second result is false when the loop does not answer.
-func (c *Core) Query(req fanout.Request, budget clock.Milli, trace string) (Answered, bool) {
+// Query runs a query, until it is answered or its context ends because its
+// caller has gone. The budget is in milliseconds; 0 takes the service's. The
+// second result is false when there is no answer.
+func (c *Core) Query(ctx context.Context, req fanout.Request, budget clock.Milli, trace string) (Answered, bool) {
 	m := start{req: req, budget: budget, trace: trace, reply: make(chan Answered, 1)}
 	if !c.loop.Post(m) {
 		return Answered{}, false
 	}
-	return await(m.reply, budget)
+	got, ok := awaitIn(ctx, m.reply, budget)
+	if !ok && ctx.Err() != nil {
+		c.loop.Post(left{m.reply}) // a loop that has ended has no calls left
+	}
+	return got, ok
 }
 
+// await waits for the control loop's reply, a while longer than the budget.
 func await[T any](reply chan T, budget clock.Milli) (T, bool) {
+	return awaitIn(context.Background(), reply, budget)
+}
+
+func awaitIn[T any](ctx context.Context, reply chan T, budget clock.Milli) (T, bool) {
 	if budget == 0 {
 		budget = clock.Minute
 	}
-	timer := time.NewTimer(budget.Duration() + slack)
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, budget.Duration()+slack)
+	defer cancel()
 	select {
 	case r := <-reply:
 		return r, true
-	case <-timer.C:
+	case <-ctx.Done():
 		var none T
 		return none, false
 	}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -177,10 +177,12 @@
 	if q.Limit == 0 {
 		q.Limit = rowsUnsaid
 	}
-	got, ok := f.Core.Query(fanout.Request{
+	got, ok := f.Core.Query(r.Context(), fanout.Request{
 		Service: q.Service, Text: q.Text, Limit: q.Limit, Caller: callerOf(r),
 	}, clock.Milli(q.Budget), r.Header.Get("traceparent"))
 	switch {
+	case r.Context().Err() != nil:
+		return // nobody reads an answer
 	case !ok:
 		unavailable(w, http.StatusServiceUnavailable, wireError{Error: errRefused, Reason: string(query.ReasonNotReady)}, clock.Second)
 	case got.Answer.Refused != query.ReasonNone:
--- a/fakes/leaf/leaf.go
+++ b/fakes/leaf/leaf.go
@@ -90,6 +90,7 @@
 	restartAt   *time.Timer
 	closed      bool
 	crashes     int
+	cancelled   int
 }
 
 // New returns a server that is not listening yet. Its leafs hold the snapshot
@@ -215,15 +216,17 @@
 
 // Stats are a server's counts.
 type Stats struct {
-	Server   string         `json:"server"`
-	Calls    int            `json:"calls"`
-	Excess   int            `json:"excess"`
-	Shed     int            `json:"shed"`
-	Refused  int            `json:"refused-connections"`
-	MaxBusy  int            `json:"max-busy"`
-	Crashes  int            `json:"crashes"`
-	LastUse  int64          `json:"last-use-ms-ago"`
-	Executed map[string]int `json:"executed"`
+	Server  string `json:"server"`
+	Calls   int    `json:"calls"`
+	Excess  int    `json:"excess"`
+	Shed    int    `json:"shed"`
+	Refused int    `json:"refused-connections"`
+	MaxBusy int    `json:"max-busy"`
+	Crashes int    `json:"crashes"`
+	// Cancelled counts attempts that were called off while they ran.
+	Cancelled int            `json:"cancelled"`
+	LastUse   int64          `json:"last-use-ms-ago"`
+	Executed  map[string]int `json:"executed"`
 }
 
 // Stats returns the counts of all leafs together.
@@ -231,7 +234,7 @@
 	executed := s.Executed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := Stats{Server: s.spec.Name, Crashes: s.crashes, Executed: executed, LastUse: -1}
+	st := Stats{Server: s.spec.Name, Crashes: s.crashes, Cancelled: s.cancelled, Executed: executed, LastUse: -1}
 	for _, f := range s.leafs {
 		st.Calls += f.Calls
 		st.Excess += f.Excess
--- a/fakes/leaf/serve.go
+++ b/fakes/leaf/serve.go
@@ -157,6 +157,7 @@
 	if stop, ok := s.attempts[r.PathValue("attempt")]; ok {
 		delete(s.attempts, r.PathValue("attempt"))
 		close(stop)
+		s.cancelled++
 	}
 	s.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
--- a/share/fanout/answer.go
+++ b/share/fanout/answer.go
@@ -58,6 +58,18 @@
 	}})
 }
 
+// Leave ends a query whose caller has gone: nobody reads its answer, and its calls
+// are slots that other callers wait for.
+func (e *Engine) Leave(now clock.Milli, id uint64) []Action {
+	e.init()
+	e.now = now
+	q := e.queries[id]
+	if q == nil {
+		return nil // it was answered meanwhile
+	}
+	return e.answerRefused(now, q, query.ReasonCallerGone, 0)
+}
+
 // load counts the leaf calls of a query, and those beyond the first per shard.
 func (q *running) load() (calls, extra int) {
 	calls, extra = q.past, q.past
--- a/share/fanout/engine_test.go
+++ b/share/fanout/engine_test.go
@@ -322,3 +322,25 @@
 	assert.Equal(t, a.Refused, query.ReasonQuarantined)
 	assert.Assert(t, a.RetryAfter > 0)
 }
+
+// A caller closes its connection while its query's calls are under way. They are
+// called off, so that their slots serve others, and what comes in later changes
+// nothing.
+func TestCallsEndWhenTheCallerLeaves(t *testing.T) {
+	e := proven()
+	sent := calls(ask(e, 1, 1))
+	actions := e.Leave(5, 1)
+	called := 0
+	for _, a := range actions {
+		if c, ok := a.(CancelCalls); ok {
+			called += len(c.Calls)
+		}
+	}
+	assert.Equal(t, called, len(sent))
+	a, done := answerOf(actions)
+	assert.Assert(t, done)
+	assert.Equal(t, a.Refused, query.ReasonCallerGone)
+	assert.Assert(t, e.Idle())
+	assert.Equal(t, len(e.Outcome(6, ok(sent[0].ID, "x"))), 0)
+	assert.Equal(t, len(e.Leave(7, 1)), 0)
+}
--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -1,7 +1,9 @@
 package httpd
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -29,8 +31,10 @@
 	// and heardAt when the last did; bytes counts them.
 	begunAt, heardAt time.Time
 	bytes            int
-	// left is set once the caller has closed the connection.
-	left bool
+	// left is set once the caller has closed the connection, and cancel ends
+	// the context of the request that is handled.
+	left   bool
+	cancel context.CancelFunc
 	// refusedAt is when a request that is not whole was refused; what follows on
 	// the connection is not read.
 	refusedAt time.Time
@@ -45,39 +49,45 @@
 	c.open[conn.RemoteAddr().String()] = &openConn{conn: conn, freed: time.Now()}
 }
 
-// left records that a connection's caller has closed it, and tells whether that
-// is news. The connection's requests may still be handled.
-func (c *conns) left(conn net.Conn) bool {
+// handle gives a request that is about to be handled a context that ends when
+// its caller closes the connection.
+func (c *conns) handle(r *http.Request) (*http.Request, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(r.Context())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.open[conn.RemoteAddr().String()]
-	if o == nil || o.conn != conn || o.left {
-		return false
+	if o := c.open[r.RemoteAddr]; o != nil {
+		o.cancel = cancel
+		if o.left {
+			cancel()
+		}
 	}
-	o.left = true
-	return true
+	return r.WithContext(ctx), cancel
 }
 
-// closed forgets a connection once its last request has been handled, and tells
-// whether its end is news. Its address may be another connection's by then.
-func (c *conns) closed(conn net.Conn) bool {
+// left records that a connection's caller has closed it. Its requests may still
+// be handled.
+func (c *conns) left(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	remote := conn.RemoteAddr().String()
-	o := c.open[remote]
+	o := c.open[conn.RemoteAddr().String()]
 	if o == nil || o.conn != conn {
-		return false
+		return
+	}
+	o.left = true
+	if o.cancel != nil {
+		o.cancel()
 	}
-	delete(c.open, remote)
-	return !o.left
 }
 
-// gone tells whether the caller on a connection has closed it.
-func (c *conns) gone(remote string) bool {
+// closed forgets a connection once its last request has been handled. Its
+// address may be another connection's by then.
+func (c *conns) closed(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.open[remote]
-	return o != nil && o.left
+	remote := conn.RemoteAddr().String()
+	if o := c.open[remote]; o != nil && o.conn == conn {
+		delete(c.open, remote)
+	}
 }
 
 // take records that a request has been read whole. It is called before the
@@ -123,6 +133,7 @@
 	defer c.mu.Unlock()
 	if o := c.open[remote]; o != nil {
 		o.requests--
+		o.cancel = nil
 		o.freed = time.Now()
 	}
 }
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -54,7 +54,8 @@
 // The library logs to standard output, which belongs to the programs.
 func init() { logging.SetLevel(logging.LevelNone) }
 
-// Server serves a handler on one address. Fields are set before Start.
+// Server serves a handler on one address. The context of a request ends when its
+// caller closes the connection. Fields are set before Start.
 type Server struct {
 	// Address is the IP and port to listen on; port 0 picks one.
 	Address  string
@@ -62,9 +63,6 @@
 	MaxConns int
 	// Limits are in force until SetLimits replaces them.
 	Limits Limits
-	// Closed is told the remote address of each connection that has ended, also
-	// while a request on it is handled; it may be nil.
-	Closed func(remote string)
 	// Refused is told of each request outside the limits, which its handler does
 	// not see; it may be nil.
 	Refused func(remote string, status int)
@@ -108,11 +106,7 @@
 	})
 	s.engine.OnRead(s.readable)
 	s.engine.OnOpen(s.conns.opened)
-	s.engine.OnClose(func(c net.Conn, _ error) {
-		if s.conns.closed(c) {
-			s.ended(c)
-		}
-	})
+	s.engine.OnClose(func(c net.Conn, _ error) { s.conns.closed(c) })
 	s.started = time.Now()
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "serve on %s", s.Address)
@@ -161,9 +155,7 @@
 	for {
 		n, ended := fill(c, *buf)
 		if ended {
-			if s.conns.left(c) {
-				s.ended(c)
-			}
+			s.conns.left(c)
 			_ = c.CloseWithError(io.EOF) // it has ended already
 			return
 		}
@@ -202,17 +194,6 @@
 	return &b
 }
 
-// ended tells that a connection has ended.
-func (s *Server) ended(c net.Conn) {
-	if s.Closed != nil {
-		s.Closed(c.RemoteAddr().String())
-	}
-}
-
-// Gone tells whether the caller on a connection has closed it while a request on
-// it is handled. Closed is told after Gone says so.
-func (s *Server) Gone(remote string) bool { return s.conns.gone(remote) }
-
 // read takes bytes into account and tells whether they are to be read.
 func (s *Server) read(conn net.Conn, n int) bool {
 	status, read := s.conns.heard(conn.RemoteAddr().String(), n, *s.limits.Load())
@@ -244,6 +225,8 @@
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
+	r, cancel := s.conns.handle(r)
+	defer cancel()
 	s.Handler.ServeHTTP(w, r)
 }
 
--- a/share/httpd/httpd_test.go
+++ b/share/httpd/httpd_test.go
@@ -1,6 +1,7 @@
 package httpd
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -62,9 +63,9 @@
 }
 
 // A caller closes its connection, or resets it, while its request is handled. The
-// server says so at once: what works for that caller can stop. Told only after
-// the handler, as the library does, nothing would ever stop early.
-func TestCloseIsToldWhileTheRequestIsHandled(t *testing.T) {
+// request's context ends at once: what works for that caller can stop. Told only
+// after the handler, as the library does, nothing would ever stop early.
+func TestContextEndsWhenTheCallerLeaves(t *testing.T) {
 	for name, end := range map[string]func(*net.TCPConn){
 		"close": func(c *net.TCPConn) { assert.Check(t, c.Close()) },
 		"reset": func(c *net.TCPConn) {
@@ -73,33 +74,28 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			inside, release := make(chan struct{}), make(chan struct{})
-			told := make(chan string, 2)
-			s := Server{
-				Address: "127.0.0.1:0", Closed: func(remote string) { told <- remote },
-				Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-					close(inside)
-					<-release
-				}),
-			}
+			inside, ended := make(chan struct{}), make(chan struct{})
+			s := Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				close(inside)
+				select {
+				case <-r.Context().Done():
+					close(ended)
+				case <-time.After(5 * time.Second):
+				}
+			})}
 			assert.NilError(t, s.Start())
 			c, err := net.Dial("tcp", s.Addr())
 			assert.NilError(t, err)
-			remote := c.LocalAddr().String()
 			_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 			assert.NilError(t, err)
 			<-inside
 			end(c.(*net.TCPConn))
 			select {
-			case who := <-told:
-				assert.Equal(t, who, remote)
+			case <-ended:
 			case <-time.After(500 * time.Millisecond):
-				t.Error("not told while the request is handled")
+				t.Error("the context goes on while the request is handled")
 			}
-			assert.Assert(t, s.Gone(remote))
-			close(release)
 			assert.NilError(t, s.Close())
-			assert.Equal(t, len(told), 0, "told twice")
 		})
 	}
 }
@@ -143,17 +139,20 @@
 }
 
 // A caller opens a connection from the address of its former one, whose end is
-// still in the library's queue. The former's end must not hide the new one.
+// still in the library's queue. The former's end must not end the new one's
+// requests, nor hide that it is open.
 func TestEndOfAFormerConnectionSparesTheNextFromItsAddress(t *testing.T) {
 	var c conns
 	former, a := net.Pipe()
 	next, b := net.Pipe()
 	defer func() { _, _ = a.Close(), b.Close() }()
 	c.opened(former)
-	assert.Assert(t, c.left(former))
 	c.opened(next) // pipes all have one address
-	assert.Assert(t, !c.closed(former), "told twice")
-	remote := next.RemoteAddr().String()
-	assert.Assert(t, !c.gone(remote))
-	assert.Assert(t, c.closed(next), "not told")
+	r, cancel := c.handle(&http.Request{RemoteAddr: next.RemoteAddr().String()})
+	defer cancel()
+	c.left(former)
+	c.closed(former)
+	assert.NilError(t, r.Context().Err())
+	c.left(next)
+	assert.ErrorIs(t, r.Context().Err(), context.Canceled)
 }
--- a/share/query/query.go
+++ b/share/query/query.go
@@ -80,6 +80,8 @@
 	ReasonReused      Reason = "id-reused"
 	ReasonLeafError   Reason = "leaf-error"
 	ReasonBusy        Reason = "link-busy"
+	// ReasonCallerGone ends a query whose caller has closed its connection.
+	ReasonCallerGone Reason = "caller-gone"
 	// ReasonProven answers a canary that need not run: the aggregator knows
 	// that a leaf survived the request.
 	ReasonProven Reason = "proven"
--- a/share/tier/callers.go
+++ b/share/tier/callers.go
@@ -10,7 +10,6 @@
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
 	"dandelionstile/share/hop"
-	"dandelionstile/share/httpd"
 	"dandelionstile/share/mirror"
 	"dandelionstile/share/router"
 	"dandelionstile/share/topk"
@@ -18,36 +17,30 @@
 
 // callers are the requests whose callers wait for an answer.
 type callers struct {
-	mu       sync.Mutex
-	waiting  map[uint64]chan router.Answer
-	byRemote map[string]uint64
-	over     bool
+	mu      sync.Mutex
+	waiting map[uint64]chan router.Answer
+	over    bool
 }
 
-func (c *callers) add(query uint64, remote string) chan router.Answer {
+func (c *callers) add(query uint64) chan router.Answer {
 	answer := make(chan router.Answer, 1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting == nil {
 		c.waiting = map[uint64]chan router.Answer{}
-		c.byRemote = map[string]uint64{}
 	}
 	if c.over {
 		answer <- router.Answer{Query: query, Refusal: router.NoConfig}
 		return answer
 	}
 	c.waiting[query] = answer
-	c.byRemote[remote] = query
 	return answer
 }
 
-func (c *callers) remove(query uint64, remote string) {
+func (c *callers) remove(query uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.waiting, query)
-	if c.byRemote[remote] == query {
-		delete(c.byRemote, remote)
-	}
 }
 
 func (c *callers) answer(a router.Answer) {
@@ -59,14 +52,6 @@
 	}
 }
 
-// of returns the request under way on a connection.
-func (c *callers) of(remote string) (uint64, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	query, ok := c.byRemote[remote]
-	return query, ok
-}
-
 // abandon gives all that wait their last answer.
 func (c *callers) abandon() {
 	c.mu.Lock()
@@ -78,17 +63,9 @@
 	}
 }
 
-// callerClosed is told of each connection that has ended.
-func (t *Tier) callerClosed(remote string) {
-	if query, ok := t.callers.of(remote); ok {
-		t.callers.answer(router.Answer{Query: query, Refusal: router.Late})
-		t.post(router.Gone{Query: query})
-	}
-}
-
 // serve takes one caller's request and writes its answer.
 func (t *Tier) serve(w http.ResponseWriter, r *http.Request) {
-	t.take(&t.server, w, r, router.Arrive{Wait: t.wait(r), Remote: r.RemoteAddr})
+	t.take(w, r, router.Arrive{Wait: t.wait(r), Remote: r.RemoteAddr})
 }
 
 // serveRelayed takes a request that another host has from a caller, or one for
@@ -114,15 +91,14 @@
 	r.Header.Del(hop.HeaderRelayShards)
 	r.Header.Del(hop.HeaderRelayTarget)
 	r.Header.Del(hop.HeaderRelayVersion)
-	t.take(&t.relays, w, r, router.Arrive{
+	t.take(w, r, router.Arrive{
 		Wait: t.wait(r), Remote: r.RemoteAddr, Relayed: true, Shards: shards, Target: clock.Milli(target), Version: version,
 		Late: late,
 	})
 }
 
-// take has a request decided on that came to one of the servers, and writes its
-// answer.
-func (t *Tier) take(server *httpd.Server, w http.ResponseWriter, r *http.Request, a router.Arrive) {
+// take has a request decided on and writes its answer.
+func (t *Tier) take(w http.ResponseWriter, r *http.Request, a router.Arrive) {
 	began := t.Clock.Now()
 	t.busy.Add(1)
 	defer t.busy.Add(-1)
@@ -144,14 +120,19 @@
 	}
 	a.Query = t.queries.Add(1)
 	a.Request = request
-	waiting := t.callers.add(a.Query, r.RemoteAddr)
-	defer t.callers.remove(a.Query, r.RemoteAddr)
-	if server.Gone(r.RemoteAddr) {
-		// The caller left before its request had a turn: nothing is asked for it.
-		return
+	if r.Context().Err() != nil {
+		return // the caller left before its request had a turn
 	}
+	waiting := t.callers.add(a.Query)
+	defer t.callers.remove(a.Query)
 	t.post(a)
-	answer := <-waiting
+	var answer router.Answer
+	select {
+	case answer = <-waiting:
+	case <-r.Context().Done():
+		t.post(router.Gone{Query: a.Query})
+		return
+	}
 	if a.Relayed {
 		t.relayHeaders(w, answer, t.Clock.Now()-began)
 	}
--- a/share/tier/tier.go
+++ b/share/tier/tier.go
@@ -80,7 +80,7 @@
 	t.pool = hop.Pool{Dialect: t.Settings.Dialect, Source: t.Settings.Source, Clock: t.Clock, Report: t.report, Probed: t.probed, Absent: t.absent}
 	t.server = httpd.Server{
 		Address: t.Settings.Callers, Handler: http.HandlerFunc(t.serve),
-		Closed: t.callerClosed, Refused: t.refusedUnread,
+		Refused: t.refusedUnread,
 	}
 	go t.loop()
 	if err := t.server.Start(); err != nil {
@@ -89,9 +89,7 @@
 	if t.Settings.Gossip == "" {
 		return nil
 	}
-	t.relays = httpd.Server{
-		Address: t.Settings.Relay, Handler: http.HandlerFunc(t.serveRelayed), Closed: t.callerClosed,
-	}
+	t.relays = httpd.Server{Address: t.Settings.Relay, Handler: http.HandlerFunc(t.serveRelayed)}
 	if err := t.relays.Start(); err != nil {
 		return errors.CombineErrors(err, t.server.Close())
 	}
--- a/share/tier/tier_test.go
+++ b/share/tier/tier_test.go
@@ -251,7 +251,7 @@
 	})
 	r.leaf("s1", func(w http.ResponseWriter, q *http.Request) { sign(w, q, "0123456789abcdef") })
 	r.open()
-	r.tier.relays = httpd.Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(r.tier.serveRelayed), Closed: r.tier.callerClosed}
+	r.tier.relays = httpd.Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(r.tier.serveRelayed)}
 	assert.NilError(t, r.tier.relays.Start())
 	c := r.dialTo(r.tier.relays.Addr())
 	c.say("GET /all/x HTTP/1.1\nHost: h\nRequest-Id: q1\nDeadline-Ms: 8000\n" +
