node: half-replaced keys keep the former

Cause: keys are read anew for each link; between the writing of key and certificate, or with a file half written, every new link failed and a host that reconnected just then was cut off.

The last good files stay in force and one line says why, one when they are good again.

--- a/share/node/node.go
+++ b/share/node/node.go
@@ -146,9 +146,18 @@
 	nextBeat clock.Milli
 }
 
+// tlsFault tells that the files of the links' keys cannot be used, or can again.
+func (n *Node) tlsFault(err error) {
+	if err == nil {
+		n.Log.Info().Msg("tls files are good again")
+		return
+	}
+	n.Log.Error().Err(err).Msg("tls files cannot be used, the last good ones stay in force")
+}
+
 // Start listens for links and begins to learn.
 func (n *Node) Start() error {
-	tlsConfig, err := n.Settings.TLS.Config()
+	tlsConfig, err := n.Settings.TLS.Config(n.tlsFault)
 	if err != nil {
 		return err
 	}
--- a/share/node/tls_test.go
+++ b/share/node/tls_test.go
@@ -14,7 +14,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"dandelionstile/share/mesh"
 	"dandelionstile/share/wire"
@@ -70,6 +72,17 @@
 // counter counts the links that come up.
 type counter struct{ up atomic.Int64 }
 
+// awaitLink waits until a link is up.
+func (c *counter) awaitLink(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.up.Load() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no link is up")
+	}, poll.WithTimeout(5*time.Second))
+}
+
 func (c *counter) Up(*mesh.Link) { c.up.Add(1) }
 
 func (c *counter) Frame(*mesh.Link, *wire.Envelope) {}
@@ -81,7 +94,7 @@
 // dials starts a mesh with these settings that dials the address.
 func dials(t *testing.T, s TLSSettings, addr string) *counter {
 	t.Helper()
-	config, err := s.Config()
+	config, err := s.Config(nil)
 	assert.NilError(t, err)
 	c := &counter{}
 	m := &mesh.Mesh{Hello: &wire.Hello{Host: "c"}, Handler: c, TLS: config}
@@ -94,7 +107,7 @@
 // sends updates. Only hosts with a certificate of the authority may.
 func TestOnlyHostsOfTheAuthorityLinkUp(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
-	config, err := ours.issue(t).Config()
+	config, err := ours.issue(t).Config(nil)
 	assert.NilError(t, err)
 	server := &counter{}
 	s := &mesh.Mesh{Hello: &wire.Hello{Host: "s"}, Handler: server, TLS: config}
@@ -104,17 +117,76 @@
 	stranger := dials(t, theirs.issue(t), addr.String())
 	plain := dials(t, TLSSettings{}, addr.String())
 	friend := dials(t, ours.issue(t), addr.String())
-	for range 500 {
-		if friend.up.Load() > 0 {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	assert.Assert(t, friend.up.Load() > 0, "a host of the authority links up")
+	friend.awaitLink(t)
 	assert.Equal(t, stranger.up.Load()+plain.up.Load(), int64(0))
 	assert.Equal(t, server.up.Load(), friend.up.Load())
 }
 
+// serves starts a mesh with these settings and returns its address.
+func serves(t *testing.T, s TLSSettings, fault func(error)) string {
+	t.Helper()
+	config, err := s.Config(fault)
+	assert.NilError(t, err)
+	m := &mesh.Mesh{Hello: &wire.Hello{Host: "s"}, Handler: &counter{}, TLS: config}
+	addr, err := m.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, m.Close()) })
+	return addr.String()
+}
+
+// take puts another host's files in the place of these.
+func (s TLSSettings) take(t *testing.T, from TLSSettings) {
+	t.Helper()
+	for to, file := range map[string]string{s.Cert: from.Cert, s.Key: from.Key, s.CA: from.CA} {
+		body, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(to, body, 0o600))
+	}
+}
+
+// Operators replace keys and authority while hosts run. New links go by the new
+// files with no restart; a host that still shows the former authority's
+// certificate is refused.
+func TestReplacedKeysNeedNoRestart(t *testing.T) {
+	former, next := newAuthority(t), newAuthority(t)
+	files := former.issue(t)
+	addr := serves(t, files, nil)
+	dials(t, former.issue(t), addr).awaitLink(t)
+	files.take(t, next.issue(t))
+	late := dials(t, former.issue(t), addr)
+	dials(t, next.issue(t), addr).awaitLink(t)
+	assert.Equal(t, late.up.Load(), int64(0))
+}
+
+// Keys are replaced file by file, and for a moment key and certificate do not
+// belong together, or a file is half written. Links that come up just then go by
+// the last good files: refused, the host would be cut off from all others while
+// it serves callers.
+func TestHalfReplacedKeysKeepTheFormer(t *testing.T) {
+	ours := newAuthority(t)
+	files, other := ours.issue(t), ours.issue(t)
+	var told atomic.Int64
+	var good atomic.Int64
+	addr := serves(t, files, func(err error) {
+		if err == nil {
+			good.Add(1)
+			return
+		}
+		assert.Check(t, errors.Is(err, ErrTLS))
+		told.Add(1)
+	})
+	body, err := os.ReadFile(other.Key)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(files.Key, body, 0o600))
+	dials(t, ours.issue(t), addr).awaitLink(t)
+	dials(t, ours.issue(t), addr).awaitLink(t)
+	assert.Equal(t, told.Load(), int64(1), "one line for one fault")
+	assert.NilError(t, os.WriteFile(files.CA, []byte("-----BEGIN"), 0o600))
+	files.take(t, other)
+	dials(t, ours.issue(t), addr).awaitLink(t)
+	assert.Equal(t, good.Load(), int64(1))
+}
+
 func TestSettingsFaults(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.yaml")
 	text := "host: {name: h}\nlisten: {links: here, admin: 127.0.0.1:1}\nplatform: {address: 127.0.0.1:2}\ntls: {cert: x}\nextra: 1\n"
