--- a/fakes/lab/lab_test.go
+++ b/fakes/lab/lab_test.go
@@ -213,6 +213,13 @@
 	d.why[what]++
 }
 
+// awaitMore waits for so many more complete answers.
+func (d *load) awaitMore(n int64) {
+	d.t.Helper()
+	until := d.complete.Load() + n
+	assert.NilError(d.t, Await(patient, "queries go on", func() bool { return d.complete.Load() >= until }))
+}
+
 // end stops the load and says what happened.
 func (d *load) end() {
 	close(d.stop)
@@ -372,9 +379,11 @@
 	l, c := startLab(t, nil)
 	l.Publish("carry:\n  - {server: returns-desk-0, slots: 2}\n")
 	d := startLoad(t, l, 3)
-	time.Sleep(500 * time.Millisecond)
-	setMode(l, func(m *modeOf) { m.Down = true })
 	h := l.Hosts[2]
+	assert.NilError(t, Await(patient, "the version is in force elsewhere", func() bool {
+		return c.Version(l.Hosts[3].EntryAdmin, "config") == l.Version
+	}))
+	setMode(l, func(m *modeOf) { m.Down = true })
 	l.KillHost(h)
 	assert.NilError(t, l.Run(h))
 	assert.NilError(t, Await(patient, "the host learns from its peers", func() bool {
@@ -444,12 +453,12 @@
 			l.Servers[s.Name].SetSnapshots(invent.Pin{Layout: 1, Version: version - 1}, invent.Pin{Layout: 1, Version: version})
 			time.Sleep(10 * time.Millisecond)
 		}
-		time.Sleep(1200 * time.Millisecond)
+		d.awaitMore(200)
 		for _, s := range l.Specs {
 			l.Servers[s.Name].SetSnapshots(invent.Pin{Layout: 1, Version: version})
 		}
 	}
-	time.Sleep(1500 * time.Millisecond)
+	d.awaitMore(200)
 	d.end()
 	assert.Assert(t, d.complete.Load() > 100)
 	assert.Equal(t, d.failed.Load(), int64(0))
@@ -468,7 +477,19 @@
 		spec := l.Specs[i]
 		l.Servers[spec.Name].SetFault(spec.Leafs[0].Name, fault)
 	}
-	time.Sleep(2 * time.Second)
+	before := make([]int, len(faults))
+	for i := range faults {
+		before[i] = l.Servers[l.Specs[i].Name].Stats().Calls
+	}
+	assert.NilError(t, Await(patient, "each faulty leaf's server has been asked", func() bool {
+		for i := range faults {
+			if l.Servers[l.Specs[i].Name].Stats().Calls < before[i]+20 {
+				return false
+			}
+		}
+		return true
+	}))
+	d.awaitMore(200)
 	d.end()
 	assert.Assert(t, d.complete.Load() > 50)
 	assert.Equal(t, d.failed.Load(), int64(0))
@@ -508,7 +529,7 @@
 		silenced += s.Silence(1)
 	}
 	assert.Assert(t, silenced > 20)
-	time.Sleep(2 * time.Second)
+	d.awaitMore(200)
 	d.end()
 	awaitReady(t, l, c)
 }
