hop, router: full leafs turn connections away before requests are sent

Cause: after a loss of power of all hosts leafs hold connections of hosts that are gone, and reset new ones beyond what they accept, as they accept them. The request was on its way by then; its caller was told 502, which for a request that may run once is the end, although it had reached nobody.

A single request waits on a new connection for as long as its opening took, and 6 ms: a reset in that time means that nothing was sent (full), and another leaf is asked, with nothing taken from the budget. Queries over shards do not wait: their targets are 120 to 250 ms.

Second cause, in the same log: a call given up while its connection was being opened was told as one that could not be opened, and made the leaf suspect, and possibly found gone. It is withdrawn now, and counts against the leaf only after one and a half times the region's least reply time and 40 ms.

--- a/share/call/call.go
+++ b/share/call/call.go
@@ -53,6 +53,12 @@
 	Foreign
 	// NotSent: no connection could be opened; nothing left this host.
 	NotSent
+	// Withdrawn: this host gave up before a connection was open; nothing left
+	// it.
+	Withdrawn
+	// Full: the leaf ended a new connection before anything was sent on it, as
+	// one does that holds all the connections it accepts.
+	Full
 	// Broken: the connection ended, or carried no proper reply, after the
 	// request was sent. It may have run.
 	Broken
@@ -60,10 +66,13 @@
 	Cancelled
 )
 
-var kindNames = [...]string{"answered", "shed", "foreign", "not-sent", "broken", "cancelled"}
+var kindNames = [...]string{"answered", "shed", "foreign", "not-sent", "withdrawn", "full", "broken", "cancelled"}
 
 // String names the kind as logs and metrics do.
 func (k Kind) String() string { return kindNames[k] }
 
 // NotRun tells whether the leaf is known not to have run the request.
-func (k Kind) NotRun() bool { return k == Shed || k == Foreign || k == NotSent }
+func (k Kind) NotRun() bool { return k == Shed || k == Foreign || k.Unsent() }
+
+// Unsent tells whether nothing of the request left this host.
+func (k Kind) Unsent() bool { return k == NotSent || k == Withdrawn || k == Full }
--- a/share/hop/conn.go
+++ b/share/hop/conn.go
@@ -96,6 +96,27 @@
 	return true
 }
 
+// freshWait is how much longer than its opening took a new connection is watched
+// before the only leaf of a request is sent it. A leaf that holds all the
+// connections it accepts resets a new one as it accepts it, which is seen one way
+// there and back after the connection is open, and a few ms for its turn.
+// After the request was sent nobody could tell whether it ran: it could not be
+// sent again if it may run once only, and took a second call from the budget if
+// not. Before, another leaf may be asked for nothing. Such requests have targets
+// of a second, of which this is little.
+const freshWait = 6 * time.Millisecond
+
+// turnedAway watches a new connection, whose opening took so long, for a moment
+// and tells whether it ended.
+func (c *conn) turnedAway(opening time.Duration) bool {
+	select {
+	case <-c.ended:
+		return true
+	case <-time.After(opening + freshWait):
+		return false
+	}
+}
+
 func (c *conn) current() *job {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/share/hop/hop_test.go
+++ b/share/hop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -313,6 +314,42 @@
 	c.shut()
 }
 
+// A leaf holds all the connections it accepts, as after a loss of power of all
+// hosts, whose connections it does not know to be gone: it resets each new one. A
+// request that may run once only was sent on such a connection, and its caller was
+// told that it may have run. It is held until the connection has stood for a
+// moment, so that it can go elsewhere.
+func TestFullLeafGetsNoRequest(t *testing.T) {
+	reset := func(c net.Conn, _ *bufio.Reader) {
+		assert.Check(t, c.(*net.TCPConn).SetLinger(0))
+	}
+	l := serve(t, reset)
+	c := newCaller(t)
+	c.pool.Send(router.Send{
+		Call: 1, Leaf: "l", Address: l.ln.Addr().String(), Left: 1000, Watch: true,
+		Request: &call.Request{ID: "q", Method: "POST", Target: "/x", Host: "h", Header: http.Header{}},
+	})
+	d := <-c.done
+	assert.Equal(t, d.Kind, call.Full, d.Cause)
+	assert.Assert(t, d.Kind.NotRun())
+}
+
+// This host gives up on a call while its connection is being opened. Nothing left
+// the host, and it says nothing of the leaf: told like a connection that could
+// not be opened, it made thousands of sound leafs suspect on a day.
+func TestCallGivenUpBeforeItsConnectionIsWithdrawn(t *testing.T) {
+	c := newCaller(t)
+	full, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, full.Close()) }()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.pool.dial(ctx, full.Addr().String())
+	d := unopened(ctx, err)
+	assert.Equal(t, d.Kind, call.Withdrawn, d.Cause)
+	assert.Assert(t, d.Kind.NotRun())
+}
+
 // A call broke. Whether its leaf went down with it shows a knock: where nobody
 // listens the leaf is told absent; where somebody does, nothing is told.
 func TestKnockTellsOnlyOfAbsentLeafs(t *testing.T) {
--- a/share/hop/pool.go
+++ b/share/hop/pool.go
@@ -235,11 +235,15 @@
 	j := &job{request: q, unsigned: relayed(q), done: make(chan result, 1)}
 	c := p.take(s.Leaf, j)
 	if c == nil {
+		began := p.Clock.Now()
 		n, err := p.dial(ctx, s.Address)
 		if err != nil {
-			return router.Done{Kind: call.NotSent, Cause: short(err)}
+			return unopened(ctx, err)
 		}
 		c = newConn(n, &p.Dialect)
+		if s.Watch && c.turnedAway((p.Clock.Now() - began).Duration()) {
+			return router.Done{Kind: call.Full, Cause: "the leaf ended a new connection"}
+		}
 		if !c.begin(j) {
 			return router.Done{Kind: call.NotSent, Cause: ErrIdle.Error()}
 		}
@@ -247,6 +251,17 @@
 	return p.exchange(ctx, c, j, s)
 }
 
+// unopened tells why there is no connection.
+func unopened(ctx context.Context, err error) router.Done {
+	switch {
+	case ctx.Err() != nil:
+		return router.Done{Kind: call.Withdrawn, Cause: "given up"}
+	case errors.Is(err, syscall.ECONNRESET):
+		return router.Done{Kind: call.Full, Cause: short(err)}
+	}
+	return router.Done{Kind: call.NotSent, Cause: short(err)}
+}
+
 // relayed tells whether a request goes to another host.
 func relayed(q *http.Request) bool { return len(q.Header[HeaderRelayTarget]) > 0 }
 
--- a/share/router/done.go
+++ b/share/router/done.go
@@ -59,6 +59,13 @@
 		}
 	case d.Kind == call.Foreign:
 		e.strike(now, f, 1, "another leaf has its address", now-a.sent)
+	case d.Kind == call.Withdrawn:
+		if took > openSlack+openFloors*e.floor(f) {
+			e.strike(now, f, 1, "no connection yet", now-a.sent)
+		}
+	case d.Kind == call.Full:
+		f.judge(now, 1)
+		f.strikes = 0
 	case d.Kind == call.NotSent:
 		e.leafDown(now, f)
 		e.strike(now, f, 1, d.Cause, now-a.sent)
@@ -77,6 +84,15 @@
 	}
 }
 
+// A connection is open after one way there and back. A call that was given up
+// before that says something of its leaf only if it had time for more: with the
+// least reply time of the leaf's region, which holds one way there and back, half
+// as much again and what a busy host takes.
+const (
+	openFloors = 1.5
+	openSlack  = 40.0
+)
+
 func (e *Engine) strike(now clock.Milli, f *leaf, most int, cause string, took clock.Milli) {
 	if f.failed(now, most) && !f.removed {
 		e.do(Note{Kind: NoteLeafSuspect, Leaf: f.ID, Service: f.Service, Cause: cause, Took: took})
@@ -116,7 +132,7 @@
 		e.lose(s, "no attempt is left")
 		return
 	}
-	if d.Kind == call.NotSent {
+	if d.Kind.Unsent() {
 		// A call that never left this host has cost no leaf anything, and
 		// another takes nothing from the budget.
 		e.place(now, s)
--- a/share/router/peer.go
+++ b/share/router/peer.go
@@ -271,7 +271,8 @@
 		}
 		return
 	}
-	if d.Kind == call.Cancelled && now < r.query.target+relayGrace {
+	gaveUp := d.Kind == call.Cancelled || d.Kind == call.Withdrawn
+	if gaveUp && now < r.query.target+relayGrace {
 		return // the caller left
 	}
 	p.pause = min(max(peerPauseLeast, 2*p.pause), peerPauseMost)
--- a/share/router/place.go
+++ b/share/router/place.go
@@ -42,7 +42,7 @@
 	s.waiting = false
 	s.sentAt = now
 	s.hedgeAt = now + e.slowAfter(now, s, f)
-	e.do(Send{Call: a.id, Request: q.request, Leaf: f.ID, Address: f.Address, Left: max(1, q.end-now)})
+	e.do(Send{Call: a.id, Request: q.request, Leaf: f.ID, Address: f.Address, Left: max(1, q.end-now), Watch: !q.route.Merged()})
 }
 
 const (
--- a/share/router/single_test.go
+++ b/share/router/single_test.go
@@ -217,3 +217,28 @@
 	assert.Equal(t, r.last().Leaf, "b")
 	assert.Equal(t, r.engine.Self.Region, "far")
 }
+
+// Callers leave, or another leaf answers first, while connections to leafs far
+// away are being opened. Those leafs are sound: that a call was given up before a
+// connection could be open must not make them suspect. One that was given up
+// after several ways there and back must.
+func TestCallWithdrawnEarlyBlamesNoLeaf(t *testing.T) {
+	for name, c := range map[string]struct {
+		took    clock.Milli
+		suspect bool
+	}{"within the way there and back": {90, false}, "long after it": {250, true}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.handle(Facts{Table: table(1, single(true)), Leafs: []roster.Leaf{leafOf("s", "a", there)}})
+			r.arrive("/one/", 2000)
+			r.pass(92)
+			r.good(r.last()) // the region's leafs take 92 ms
+			r.arrive("/one/", 2000)
+			s := r.last()
+			r.pass(c.took)
+			r.handle(Gone{Query: r.queries})
+			r.ends(s, call.Withdrawn)
+			assert.Equal(t, r.engine.leafs["a"].suspect, c.suspect)
+		})
+	}
+}
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -104,6 +104,9 @@
 	Address string
 	// Left is how long the leaf may take.
 	Left clock.Milli
+	// Watch has a new connection watched for a moment before the request is sent
+	// on it, so that the leaf can turn the connection away first.
+	Watch bool
 }
 
 // Relay hands shards of a request to another host, to be answered from there.
