--- a/entry/core/core.go
+++ b/entry/core/core.go
@@ -19,11 +19,8 @@
 	"dandelionstile/share/mesh"
 	"dandelionstile/share/meter"
 	"dandelionstile/share/node"
-	"dandelionstile/share/place"
-	"dandelionstile/share/poison"
 	"dandelionstile/share/query"
 	"dandelionstile/share/spans"
-	"dandelionstile/share/ticket"
 	"dandelionstile/share/wire"
 )
 
@@ -62,18 +59,6 @@
 	req   fanout.Request
 }
 
-// openUpdate is an update that its caller waits for.
-type openUpdate struct {
-	reply chan fanout.UpdateResult
-	span  spans.Span
-}
-
-// remote is an update that another entry waits for.
-type remote struct {
-	link *mesh.Link
-	id   uint64
-}
-
 // Answered is a query's answer with the id to explain it by.
 type Answered struct {
 	ID     string
@@ -107,12 +92,6 @@
 	left struct{ reply chan Answered }
 )
 
-// Minted is the answer to Mint.
-type Minted struct {
-	IDs []ticket.ID
-	Err error
-}
-
 // Start links up and begins to serve.
 func (c *Core) Start() error {
 	c.aggs = map[string]*mesh.Link{}
@@ -202,27 +181,6 @@
 	return clock.Second
 }
 
-func (c *Core) update(now clock.Milli, m update) {
-	c.last++
-	m.req.Number = c.last
-	if m.budget == 0 {
-		m.budget = c.deadline(m.req.Service)
-	}
-	m.req.Deadline = now + m.budget
-	if m.req.ID == (ticket.ID{}) {
-		ids, err := c.fan.Mint(now, 1)
-		if err != nil {
-			m.reply <- fanout.UpdateResult{Kind: query.NotRun, Reason: query.ReasonNotReady}
-			return
-		}
-		m.req.ID = ids[0]
-	}
-	span := c.Tracer.Start(m.trace, "update",
-		attribute.String("service", m.req.Service), attribute.String("id", m.req.ID.String()))
-	c.updates[c.last] = &openUpdate{reply: m.reply, span: span}
-	c.act(now, c.fan.StartUpdate(now, m.req))
-}
-
 // act carries out the decisions.
 func (c *Core) act(now clock.Milli, actions []fanout.Action) {
 	for _, a := range actions {
@@ -266,39 +224,6 @@
 	}
 }
 
-func (c *Core) sendUpdate(now clock.Milli, a fanout.SendUpdate) {
-	trace := ""
-	if u := c.updates[a.Update.Number]; u != nil {
-		trace = u.span.Parent()
-	}
-	l := c.aggs[a.Host]
-	if l != nil && c.node.Send(l, updateTo(a, max(0, a.Update.Deadline-now), trace)) {
-		return
-	}
-	c.act(now, c.fan.UpdateOutcome(now, a.Call, fanout.UpdateResult{Kind: query.NotRun, Reason: query.ReasonBusy}))
-}
-
-// forward hands an update to the entry that minted its id, dialing it first if
-// need be.
-func (c *Core) forward(now clock.Milli, a fanout.Forward) {
-	if l := c.entries[a.Host]; l != nil {
-		if !c.node.Send(l, forwardTo(a.Update, max(0, a.Update.Deadline-now))) {
-			c.act(now, c.fan.ForwardFailed(a.Update.Number))
-		}
-		return
-	}
-	for _, h := range c.node.Hosts() {
-		if h.Name == a.Host {
-			c.away[a.Host] = append(c.away[a.Host], a.Update)
-			c.node.Dial(h.Entry)
-			return
-		}
-	}
-	c.act(now, c.fan.ForwardOutcome(a.Update.Number, fanout.UpdateResult{
-		Kind: query.Unknown, Reason: query.ReasonOwnerGone,
-	}))
-}
-
 func (c *Core) answer(now clock.Milli, a fanout.Answered) {
 	q := c.queries[a.Query]
 	if q == nil {
@@ -348,24 +273,6 @@
 	return "other"
 }
 
-func (c *Core) updated(a fanout.UpdateAnswered) {
-	c.Meter.Count("updates", 1, meter.Label{Name: "result", Value: a.Result.Kind.String()},
-		meter.Label{Name: "reason", Value: string(a.Result.Reason)})
-	if r, ok := c.remote[a.Number]; ok {
-		delete(c.remote, a.Number)
-		c.node.Send(r.link, updateReplyTo(r.id, a.Result))
-		return
-	}
-	u := c.updates[a.Number]
-	if u == nil {
-		return
-	}
-	delete(c.updates, a.Number)
-	u.span.Set(attribute.String("result", a.Result.Kind.String()), attribute.String("reason", string(a.Result.Reason)))
-	u.span.End()
-	u.reply <- a.Result
-}
-
 // slack is how long past its deadline a request waits for the control loop
 // before it is answered without it.
 const slack = 2 * time.Second
@@ -405,24 +312,6 @@
 	}
 }
 
-// Update runs an update.
-func (c *Core) Update(req fanout.Update, budget clock.Milli, trace string) (fanout.UpdateResult, bool) {
-	m := update{req: req, budget: budget, trace: trace, reply: make(chan fanout.UpdateResult, 1)}
-	if !c.loop.Post(m) {
-		return fanout.UpdateResult{}, false
-	}
-	return await(m.reply, budget)
-}
-
-// Mint returns new ids.
-func (c *Core) Mint(count int) (Minted, bool) {
-	m := mint{count: count, reply: make(chan Minted, 1)}
-	if !c.loop.Post(m) {
-		return Minted{}, false
-	}
-	return await(m.reply, clock.Second)
-}
-
 // Config returns the configuration in force, or nil.
 func (c *Core) Config() *invent.Config {
 	got, _ := inLoop(c, func(clock.Milli) *invent.Config { return c.fan.Config() })
@@ -458,132 +347,3 @@
 	err := errors.CombineErrors(c.http.Close(), c.node.Close())
 	return errors.CombineErrors(err, c.loop.Close())
 }
-
-// owner is what the node tells its program; see node.Program.
-type owner struct{ c *Core }
-
-func (o owner) Configure(_ clock.Milli, cfg *invent.Config, hosts []invent.Host) {
-	o.c.fan.Configure(cfg, hosts)
-	if o.c.Configured != nil && cfg != nil {
-		o.c.Configured(cfg)
-	}
-	for name, l := range o.c.aggs {
-		if l != nil {
-			o.c.fan.HostUp(name)
-		}
-	}
-	for _, h := range hosts {
-		o.c.fan.HostLeaving(h.Name, h.Leaving)
-	}
-}
-
-func (o owner) LinkUp(now clock.Milli, l *mesh.Link) {
-	c := o.c
-	host := l.Peer.GetHost()
-	switch l.Peer.GetProgram() {
-	case node.Aggregator:
-		if l.Dialed == "" {
-			return
-		}
-		c.aggs[host] = l
-		c.fan.HostUp(host)
-	case node.Entry:
-		c.entries[host] = l
-		waiting := c.away[host]
-		delete(c.away, host)
-		for _, u := range waiting {
-			c.forward(now, fanout.Forward{Host: host, Update: u})
-		}
-	}
-}
-
-func (o owner) LinkDown(now clock.Milli, l *mesh.Link, _ error) {
-	c := o.c
-	host := l.Peer.GetHost()
-	if c.aggs[host] == l {
-		delete(c.aggs, host)
-		c.act(now, c.fan.HostDown(now, host))
-	}
-	if c.entries[host] == l {
-		delete(c.entries, host)
-		c.act(now, c.fan.OwnerDown(host))
-	}
-	for n, r := range c.remote {
-		if r.link == l {
-			delete(c.remote, n)
-		}
-	}
-}
-
-func (o owner) RTT(_ clock.Milli, l *mesh.Link, trip time.Duration) {
-	if l.Peer.GetProgram() == node.Aggregator {
-		o.c.fan.HostRTT(l.Peer.GetHost(), float64(trip.Microseconds())/1000)
-	}
-}
-
-func (o owner) Leaving(_ clock.Milli, l *mesh.Link, leaving bool) {
-	if l.Peer.GetProgram() == node.Aggregator {
-		o.c.fan.HostLeaving(l.Peer.GetHost(), leaving)
-	}
-}
-
-func (o owner) Strike(now clock.Milli, s poison.Strike) bool { return o.c.fan.Strike(now, s) }
-
-func (o owner) Confirmed(clock.Milli) {}
-
-// smallFleet is how many hosts an entry links to whole.
-const smallFleet = 64
-
-// Bounds of Dials in a larger fleet.
-const (
-	nearLinks = 8
-	farLinks  = 8
-)
-
-func (o owner) Dials(cfg *invent.Config, hosts []invent.Host) []string {
-	self := o.c.Settings.Host
-	return place.Neighbours(place.Network{
-		Self: self.Name, Domain: self.Domain, Small: smallFleet, Near: nearLinks, Far: farLinks,
-	}, cfg, hosts)
-}
-
-func (o owner) Frame(now clock.Milli, l *mesh.Link, m *wire.Envelope) {
-	c := o.c
-	switch b := m.Body.(type) {
-	case *wire.Envelope_Outcomes:
-		for _, fb := range b.Outcomes.GetFeedback() {
-			c.fan.Feedback(wire.FeedbackFrom(fb))
-		}
-		for _, w := range b.Outcomes.GetOutcomes() {
-			c.act(now, c.fan.Outcome(now, wire.OutcomeFrom(w)))
-		}
-	case *wire.Envelope_UpdateReply:
-		res := updateResultFrom(b.UpdateReply)
-		if l.Peer.GetProgram() == node.Entry {
-			c.act(now, c.fan.ForwardOutcome(b.UpdateReply.GetId(), res))
-			return
-		}
-		c.act(now, c.fan.UpdateOutcome(now, b.UpdateReply.GetId(), res))
-	case *wire.Envelope_Update:
-		c.forwarded(now, l, b.Update)
-	default:
-		c.Meter.Count("bad_frames", 1)
-		c.Log.Warn().Str("peer", l.Peer.GetHost()).Msg("unexpected message from peer")
-	}
-}
-
-// forwarded takes an update whose id this host is said to have minted. It is
-// never forwarded again.
-func (c *Core) forwarded(now clock.Milli, l *mesh.Link, w *wire.Update) {
-	id, err := ticket.Parse(w.GetTicket())
-	if err != nil || id.Host != c.Settings.Host.Name {
-		c.node.Send(l, updateReplyTo(w.GetId(), fanout.UpdateResult{Kind: query.Unknown, Reason: query.ReasonOwnerGone}))
-		return
-	}
-	c.last++
-	c.remote[c.last] = remote{link: l, id: w.GetId()}
-	c.act(now, c.fan.StartUpdate(now, fanout.Update{
-		Number: c.last, ID: id, Service: w.GetService(), Operation: w.GetOperation(),
-		Key: w.GetKey(), Body: w.GetBody(), Deadline: now + clock.Milli(w.GetBudgetMs()),
-	}))
-}
--- a/share/tier/tier_test.go
+++ b/share/tier/tier_test.go
@@ -215,27 +215,38 @@
 	assert.Equal(t, first.Body+second.Body, "q1q2")
 }
 
+// endless starts a leaf that works on its one request until it is told to stop.
+func (r *rig) endless(service string) (began, stopped chan struct{}) {
+	began, stopped = make(chan struct{}), make(chan struct{})
+	r.leaf(service, func(_ http.ResponseWriter, q *http.Request) {
+		close(began)
+		<-q.Context().Done()
+		close(stopped)
+	})
+	return began, stopped
+}
+
+func stoppedSoon(t *testing.T, stopped chan struct{}) {
+	t.Helper()
+	select {
+	case <-stopped:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the leaf still works")
+	}
+}
+
 // A caller waits for eight seconds at most, and closes its connection while a leaf
 // works. The leaf's connection is closed within half a second, long before the
 // request would have ended by itself, so that the leaf can stop.
 func TestLeafIsToldThatTheCallerLeft(t *testing.T) {
 	r := newRig(t)
-	began, stopped := make(chan struct{}), make(chan struct{})
-	r.leaf("s0", func(_ http.ResponseWriter, q *http.Request) {
-		close(began)
-		<-q.Context().Done()
-		close(stopped)
-	})
+	began, stopped := r.endless("s0")
 	r.open()
 	c := r.dial()
 	c.say(strings.Replace(get("/one/x", "q1"), "1500", "8000", 1))
 	<-began
 	assert.NilError(t, c.conn.Close())
-	select {
-	case <-stopped:
-	case <-time.After(500 * time.Millisecond):
-		t.Fatal("the leaf still works")
-	}
+	stoppedSoon(t, stopped)
 }
 
 // A caller leaves while its query waits for a slow shard, and its host has handed
@@ -243,12 +254,7 @@
 // the first host, which closes the connection between them.
 func TestRelayedWorkEndsWithTheCaller(t *testing.T) {
 	r := newRig(t)
-	began, stopped := make(chan struct{}), make(chan struct{})
-	r.leaf("s0", func(_ http.ResponseWriter, q *http.Request) {
-		close(began)
-		<-q.Context().Done()
-		close(stopped)
-	})
+	began, stopped := r.endless("s0")
 	r.leaf("s1", func(w http.ResponseWriter, q *http.Request) { sign(w, q, "0123456789abcdef") })
 	r.open()
 	r.tier.relays = httpd.Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(r.tier.serveRelayed)}
@@ -258,11 +264,7 @@
 		hop.HeaderRelayTarget + ": 7000\n" + hop.HeaderRelayVersion + ": 1\n" + hop.HeaderRelayShards + ": s0\n\n")
 	<-began
 	assert.NilError(t, c.conn.Close())
-	select {
-	case <-stopped:
-	case <-time.After(500 * time.Millisecond):
-		t.Fatal("the leaf still works")
-	}
+	stoppedSoon(t, stopped)
 }
 
 // A host is told to leave while a request is under way and another connection
