--- a/entry/main.go
+++ b/entry/main.go
@@ -41,7 +41,7 @@
 	if b.Settings.Listen.Callers == "" {
 		return daemon.Service{}, daemon.Invalid(errNoCallers)
 	}
-	e := &entry{routed: routed.Routed{Settings: b.Settings, Log: b.Log, Meter: b.Meter}}
+	e := &entry{routed: routed.Routed{Settings: b.Settings, Log: b.Log, Meter: b.Meter, Tracer: b.Tracer}}
 	e.core = core.Core{
 		Settings: b.Settings, Log: b.Log, Meter: b.Meter, Tracer: b.Tracer, Configured: e.routed.Configure,
 	}
--- a/entry/routed/routed.go
+++ b/entry/routed/routed.go
@@ -5,7 +5,10 @@
 package routed
 
 import (
+	"net/http"
+
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/hop"
@@ -14,6 +17,7 @@
 	"dandelionstile/share/node"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/router"
+	"dandelionstile/share/spans"
 	"dandelionstile/share/tier"
 )
 
@@ -23,6 +27,7 @@
 	Settings node.Settings
 	Log      zerolog.Logger
 	Meter    *meter.Meter
+	Tracer   *spans.Tracer
 
 	tier tier.Tier
 }
@@ -42,11 +47,28 @@
 			Self:   router.Place{Host: r.Settings.Host.Name, Domain: r.Settings.Host.Domain},
 			Policy: router.Policy{Ratio: s.SecondCalls.Ratio, Reserve: s.SecondCalls.Reserve},
 		},
-		Log: r.Log, Meter: r.Meter, Clock: clock.Wall{},
+		Log: r.Log, Meter: r.Meter, Clock: clock.Wall{}, Around: r.traced,
 	}
 	return r.tier.Start()
 }
 
+// headerTrace names a request's place in its trace (W3C trace context).
+const headerTrace = "traceparent"
+
+// traced gives each request a span below its sender's, which other hosts and
+// leafs are told in turn.
+func (r *Routed) traced(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		span := r.Tracer.Start(q.Header.Get(headerTrace), "routed",
+			attribute.String("request", q.Header.Get(hop.Own.RequestID)), attribute.String("path", q.URL.Path))
+		defer span.End()
+		if parent := span.Parent(); parent != "" {
+			q.Header.Set(headerTrace, parent)
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
 // Configure puts a configuration in force.
 func (r *Routed) Configure(cfg *invent.Config) {
 	if r.on() {
--- a/entry/routed/routed_test.go
+++ b/entry/routed/routed_test.go
@@ -1,11 +1,21 @@
 package routed
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"dandelionstile/share/hop"
 	"dandelionstile/share/invent"
+	"dandelionstile/share/node"
+	"dandelionstile/share/spans"
 )
 
 const inventory = `failure-domains:
@@ -42,6 +52,56 @@
 	assert.Equal(t, f.Table.Services["search"].Connections, 8)
 }
 
+// A caller's trace goes on through the entry to the backend server: with the
+// caller's trace id and the entry's own span as the parent.
+func TestTraceGoesOnToTheServer(t *testing.T) {
+	t.Parallel()
+	got := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		got <- q.Header.Get(headerTrace)
+		w.Header().Set(hop.Own.RequestID, q.Header.Get(hop.Own.RequestID))
+		w.Header().Set(hop.Own.Stamp, "s")
+	}))
+	defer server.Close()
+	file := filepath.Join(t.TempDir(), "spans.json")
+	tracer, err := spans.New(file, "entry", "h", 1)
+	assert.NilError(t, err)
+	r := Routed{Tracer: tracer, Log: zerolog.Nop(), Settings: node.Settings{
+		Host:   node.HostSettings{Name: "h", Domain: "a"},
+		Listen: node.ListenSettings{Links: "127.0.0.1:1"},
+		Routes: node.RoutesSettings{Listen: "127.0.0.1:0"},
+	}}
+	assert.NilError(t, r.Start())
+	text := strings.NewReplacer("127.0.0.1:81", server.Listener.Addr().String()).Replace(inventory)
+	cfg, err := invent.Parse(1, []invent.Part{{Name: "a.yaml", Body: []byte(text)}})
+	assert.NilError(t, err)
+	r.Configure(cfg)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.Ready() {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	})
+	const caller = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+r.Addr()+"/file/x", nil)
+	assert.NilError(t, err)
+	q.Host = "h"
+	q.Header.Set(hop.Own.RequestID, "q1")
+	q.Header.Set(headerTrace, caller)
+	res, err := http.DefaultClient.Do(q)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	parent := <-got
+	assert.Equal(t, parent[:35], caller[:35], "another trace")
+	assert.Assert(t, parent != caller, "the entry's own span is left out")
+	assert.NilError(t, r.Close())
+	assert.NilError(t, tracer.Close())
+	written, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(written), parent[36:52]), "the span was not written")
+}
+
 func TestNothingIsServedWithoutAnAddress(t *testing.T) {
 	t.Parallel()
 	var r Routed
--- a/share/tier/tier.go
+++ b/share/tier/tier.go
@@ -46,6 +46,9 @@
 	Clock    clock.Clock
 	// Mirror is what other hosts may read here; nil for nothing.
 	Mirror *mirror.Mirror
+	// Around wraps the handling of requests, from callers and from other hosts;
+	// it may be nil.
+	Around func(http.Handler) http.Handler
 	// Peers is told of the other hosts that are there; it may be nil.
 	Peers func([]router.Peer)
 
@@ -79,7 +82,7 @@
 	t.stopped = make(chan struct{})
 	t.pool = hop.Pool{Dialect: t.Settings.Dialect, Source: t.Settings.Source, Clock: t.Clock, Report: t.report, Probed: t.probed, Absent: t.absent}
 	t.server = httpd.Server{
-		Address: t.Settings.Callers, Handler: http.HandlerFunc(t.serve),
+		Address: t.Settings.Callers, Handler: t.around(t.serve),
 		Refused: t.refusedUnread,
 	}
 	go t.loop()
@@ -89,7 +92,7 @@
 	if t.Settings.Gossip == "" {
 		return nil
 	}
-	t.relays = httpd.Server{Address: t.Settings.Relay, Handler: http.HandlerFunc(t.serveRelayed)}
+	t.relays = httpd.Server{Address: t.Settings.Relay, Handler: t.around(t.serveRelayed)}
 	if err := t.relays.Start(); err != nil {
 		return errors.CombineErrors(err, t.server.Close())
 	}
@@ -97,6 +100,13 @@
 	return t.peers.start(t)
 }
 
+func (t *Tier) around(h http.HandlerFunc) http.Handler {
+	if t.Around == nil {
+		return h
+	}
+	return t.Around(h)
+}
+
 // Addr is the address that callers connect to.
 func (t *Tier) Addr() string { return t.server.Addr() }
 
