mirror: what falls due does so by the clock, not at the end of a read

Cause: a host that had been cut off learnt that a leaf's entry had gone, and believed in the leaf for another 2.3 s, in which entries that lapsed in an outage come back. It looked for the end of that time only after each read. It had just gone back to following a host which was itself cut off, and its read ended by a timeout 0.95 s later: requests reached the leaf 3.1 s after it had left, where 3 s are allowed.

The test of mirror times out without it. The shorter waits that served the same end are gone.

--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -32,8 +32,9 @@
 	// Lost and Regained tell that no source, or one again, has fresh news.
 	Lost(now clock.Milli)
 	Regained(now clock.Milli)
-	// Expecting asks for short waits, with Take called after each.
+	// Expecting asks for turns while a read goes on, and Turn is one.
 	Expecting() bool
+	Turn(now clock.Milli)
 }
 
 // Timing of a follower, in ms.
@@ -43,8 +44,8 @@
 	gather clock.Milli = 150
 	// retryPause is the pause after a failed read.
 	retryPause clock.Milli = 100
-	// shortWait is the wait while the sink expects something.
-	shortWait clock.Milli = 500
+	// turnEvery is the pause between two turns of a sink that expects something.
+	turnEvery clock.Milli = 100
 	// lostAfter is after how long without fresh news the sink is told.
 	lostAfter clock.Milli = 1500
 	// slack is what a page may be older than the longest wait of a reader.
@@ -122,11 +123,7 @@
 // step makes one read from the best source.
 func (f *Follower) step() error {
 	f.pick()
-	wait := f.Wait
-	if f.Sink.Expecting() {
-		wait = min(wait, shortWait)
-	}
-	page, err := f.reading.Read(f.after, wait)
+	page, err := f.read()
 	now := f.Clock.Now()
 	if err == nil && page.Age > f.Wait+slack {
 		f.takeOld(now, page)
@@ -145,6 +142,34 @@
 	return nil
 }
 
+// read makes one read. The sink gets its turns meanwhile: what it expects falls
+// due by the clock. Left to the end of a read, an entry that was to be taken as
+// gone was kept for another second by a source that had just fallen silent.
+func (f *Follower) read() (Page, error) {
+	if !f.Sink.Expecting() {
+		return f.reading.Read(f.after, f.Wait)
+	}
+	type result struct {
+		page Page
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		page, err := f.reading.Read(f.after, f.Wait)
+		done <- result{page, err}
+	}()
+	turns := time.NewTicker(turnEvery.Duration())
+	defer turns.Stop()
+	for {
+		select {
+		case r := <-done:
+			return r.page, r.err
+		case <-turns.C:
+			f.Sink.Turn(f.Clock.Now())
+		}
+	}
+}
+
 // takeOld takes what is new here from a host that has itself not heard from the
 // store of late. A host that starts while the store is down would otherwise turn
 // its callers away until the store is back, for want of any routes. The news
--- a/share/mirror/mirror_test.go
+++ b/share/mirror/mirror_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,6 +121,8 @@
 	revision int64
 	lost     int
 	regained int
+	expects  atomic.Bool
+	turns    atomic.Int64
 }
 
 func (k *kept) Take(_ clock.Milli, p Page) {
@@ -140,7 +143,9 @@
 	k.regained++
 }
 
-func (k *kept) Expecting() bool { return false }
+func (k *kept) Expecting() bool { return k.expects.Load() }
+
+func (k *kept) Turn(clock.Milli) { k.turns.Add(1) }
 
 func (k *kept) has(revision int64) func(poll.LogT) poll.Result {
 	return func(poll.LogT) poll.Result {
@@ -300,3 +305,34 @@
 	_, err = decode([]byte("no page"))
 	assert.ErrorContains(t, err, "page")
 }
+
+// hanging is a source that has fallen silent: its reads end with the test.
+type hanging struct{ end chan struct{} }
+
+func (h hanging) Drop() {}
+
+func (h hanging) Read(int64, clock.Milli) (Page, error) {
+	<-h.end
+	return Page{}, errors.New("silent")
+}
+
+// A host is back in touch and has learnt that a leaf's entry went; it gives the
+// leaf some two seconds to return. Just before they are over, the source that it
+// reads from falls silent. The leaf must be taken as gone in time all the same:
+// at the end of the read, a second later, requests had gone to a leaf that had
+// left.
+func TestSinkGetsItsTurnsWhileASourceIsSilent(t *testing.T) {
+	source := hanging{make(chan struct{})}
+	var sink kept
+	sink.expects.Store(true)
+	f := Follower{Store: source, Wait: testWait, Clock: clock.Wall{}, Log: zerolog.Nop(), Sink: &sink}
+	f.Start()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if sink.turns.Load() >= 3 {
+			return poll.Success()
+		}
+		return poll.Continue("%d turns", sink.turns.Load())
+	}, poll.WithTimeout(2*time.Second))
+	close(source.end)
+	assert.NilError(t, f.Close())
+}
