--- a/stile/cmds/cmds_test.go
+++ b/stile/cmds/cmds_test.go
@@ -27,20 +27,28 @@
 	}
 }
 
-// An operator's change takes the last replica of a shard out; it is published
-// because nothing warned of it.
-func TestDiffWarnsOfLostCoverage(t *testing.T) {
+// changed is a copy of the kumomaru sample with other contents in some files.
+func changed(t *testing.T, contents map[string]string) string {
+	t.Helper()
 	dir := t.TempDir()
 	files, err := filepath.Glob(filepath.Join(sample("kumomaru"), "*.yaml"))
 	assert.NilError(t, err)
 	for _, f := range files {
+		name := filepath.Base(f)
 		body, err := os.ReadFile(f)
 		assert.NilError(t, err)
-		if filepath.Base(f) == "rules.yaml" {
-			body = []byte("out-of-service: [sapporo, sendai]\n")
+		if other, ok := contents[name]; ok {
+			body = []byte(other)
 		}
-		assert.NilError(t, os.WriteFile(filepath.Join(dir, filepath.Base(f)), body, 0o600))
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, name), body, 0o600))
 	}
+	return dir
+}
+
+// An operator's change takes the last replica of a shard out; it is published
+// because nothing warned of it.
+func TestDiffWarnsOfLostCoverage(t *testing.T) {
+	dir := changed(t, map[string]string{"rules.yaml": "out-of-service: [sapporo, sendai]\n"})
 	code, out, _ := stile("diff", sample("kumomaru"), dir)
 	assert.Equal(t, code, ExitFault)
 	assert.Assert(t, strings.Contains(out, "coverage is lost"), out)
@@ -53,23 +61,13 @@
 // An operator publishes a route whose service has no server left where it may be
 // served, or drops one that is in use; both are valid, and must be said first.
 func TestDangersAndChangesOfRoutesAreSaid(t *testing.T) {
-	dir := t.TempDir()
-	files, err := filepath.Glob(filepath.Join(sample("kumomaru"), "*.yaml"))
-	assert.NilError(t, err)
-	for _, f := range files {
-		body, err := os.ReadFile(f)
-		assert.NilError(t, err)
-		switch filepath.Base(f) {
-		case "rules.yaml":
-			body = []byte("out-of-service: [osaka]\n")
-		case "routes.yaml":
-			body = []byte(`routes:
+	dir := changed(t, map[string]string{
+		"rules.yaml": "out-of-service: [osaka]\n",
+		"routes.yaml": `routes:
   - {name: find, host: closet.example, prefix: /find/, idempotent: true, target-ms: 3000, shards: [returns-desk, warehouse-picking]}
   - {name: far, host: closet.example, prefix: /far/, service: returns-desk, regions: [kansai]}
-`)
-		}
-		assert.NilError(t, os.WriteFile(filepath.Join(dir, filepath.Base(f)), body, 0o600))
-	}
+`,
+	})
 	code, out, errOut := stile("check", dir)
 	assert.Equal(t, code, ExitOK, errOut)
 	assert.Assert(t, strings.Contains(out, "route far: service returns-desk has no backend server in service"), out)
