fakes: no probe while Go tries its forks out

Cause: the library finds out once, at the first start of a program or look-up of a process, how it may handle processes, by a clone that does not take the lock for forks (syscall.doCheckClonePidfd). The copy held a probe's socket until it had ended, and the port just found free was in use.

Ruled out: the lock itself (all failures come within 0.01 s, at the first start); other processes on the address (one run at a time).

The pool has it found out before its first probe.

--- a/fakes/ports/ports.go
+++ b/fakes/ports/ports.go
@@ -45,6 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.below == 0 {
+		settleForks()
 		p.below = ephemeral()
 		p.next = lowest + os.Getpid()*apart%(p.below-lowest)
 	}
@@ -61,6 +62,17 @@
 	return "", errors.Wrapf(ErrNone, "%s, ports %d to %d", ip, lowest, p.below-1)
 }
 
+// settleForks lets the library find out at once how it may handle processes. It
+// does so at the first start of a program or look-up of a process, once, by a
+// fork of its own that takes no lock: a probe's socket would live on in it.
+func settleForks() {
+	self, err := os.FindProcess(os.Getpid())
+	if err != nil {
+		return // nothing was looked up, and nothing is held
+	}
+	_ = self.Release() // this process goes on without the handle
+}
+
 // listens tells whether an address can be listened on. No program is started
 // meanwhile: its process would hold a copy of the socket until it executes, and
 // the port would be taken for that long after the probe.
