--- a/stile/cmds/story.go
+++ b/stile/cmds/story.go
@@ -85,6 +85,36 @@
 	return l, l.Message != ""
 }
 
+// text is a field that holds text; empty if there is none.
+func (l logLine) text(name string) string {
+	value, _ := l.all[name].(string)
+	return value
+}
+
+// number is a field that holds a number; 0 if there is none.
+func (l logLine) number(name string) float64 {
+	value, _ := l.all[name].(float64)
+	return value
+}
+
+// truth tells whether a field is set to true.
+func (l logLine) truth(name string) bool {
+	value, _ := l.all[name].(bool)
+	return value
+}
+
+// list is a field that holds a list of texts.
+func (l logLine) list(name string) []string {
+	values, _ := l.all[name].([]any)
+	var texts []string
+	for _, v := range values {
+		if text, ok := v.(string); ok {
+			texts = append(texts, text)
+		}
+	}
+	return texts
+}
+
 // story picks the lines that tell of a request: those that name it, and what
 // changed just before in the beliefs about leafs and hosts that it met.
 func story(lines []logLine, id string) []logLine {
@@ -121,15 +151,7 @@
 // mentioned are the leafs and hosts that a line names.
 func mentioned(l logLine) []string {
 	names := []string{l.Leaf}
-	list, ok := l.all["missing"].([]any)
-	if !ok {
-		return names
-	}
-	for _, one := range list {
-		text, ok := one.(string)
-		if !ok {
-			continue
-		}
+	for _, text := range l.list("missing") {
 		if words := strings.Fields(text); len(words) > 1 {
 			names = append(names, words[1])
 		}
