router, tier: hosts of a failure domain tell each other of slow and failing leafs

Change: a host whose belief of a leaf changes tells the hosts of its failure domain by a datagram; they take it over unless their own calls are newer. A host that stood still tells nothing. Log event leaf-heard.

--- a/share/member/codec.go
+++ b/share/member/codec.go
@@ -22,6 +22,11 @@
 	for _, s := range p.Strikes {
 		g.Strikes = append(g.Strikes, &wire.GossipStrike{Fingerprint: s.Fingerprint, Leaf: s.Leaf, AgeMs: uint32(max(0, s.Age))})
 	}
+	for _, f := range p.Leafs {
+		g.Leafs = append(g.Leafs, &wire.GossipLeaf{
+			Leaf: f.ID, LateMs: uint32(max(0, f.Late)), Failing: uint32(f.Failing * thousand),
+		})
+	}
 	body, err := proto.Marshal(g)
 	return body, errors.Wrap(err, "encode gossip")
 }
@@ -47,9 +52,17 @@
 	for _, s := range g.GetStrikes() {
 		p.Strikes = append(p.Strikes, Strike{Fingerprint: s.GetFingerprint(), Leaf: s.GetLeaf(), Age: clock.Milli(s.GetAgeMs())})
 	}
+	for _, f := range g.GetLeafs() {
+		p.Leafs = append(p.Leafs, Leaf{
+			ID: f.GetLeaf(), Late: clock.Milli(f.GetLateMs()), Failing: min(1, float64(f.GetFailing())/thousand),
+		})
+	}
 	return p, nil
 }
 
+// thousand is the scale of shares on the wire.
+const thousand = 1000
+
 // port is the port of an address; 0 if it has none.
 func port(address string) uint32 {
 	_, text, err := net.SplitHostPort(address)
--- a/share/member/member.go
+++ b/share/member/member.go
@@ -75,8 +75,9 @@
 	To string
 	// Hosts begins with the sender.
 	Hosts []Host
-	// Strikes pass through: they are the caller's.
+	// Strikes and Leafs pass through: they are the caller's.
 	Strikes []Strike
+	Leafs   []Leaf
 	// Ask asks the receiver to answer with what it knows.
 	Ask bool
 }
@@ -88,6 +89,15 @@
 	Age         clock.Milli
 }
 
+// Leaf tells how calls to a leaf fare at the sender.
+type Leaf struct {
+	ID string
+	// Late is by how much replies take longer than usual, in ms.
+	Late clock.Milli
+	// Failing is the share of calls that fail.
+	Failing float64
+}
+
 // List is one host's belief about all hosts. Self and Seeds are set before
 // first use; Seeds may be replaced at any time.
 type List struct {
@@ -143,6 +153,20 @@
 	return packets
 }
 
+// Near is a packet for each host of the own failure domain; if there are more
+// than a number of them, for others each time.
+func (l *List) Near(now clock.Milli, most int) []Packet {
+	l.start()
+	var packets []Packet
+	for _, h := range l.Alive(now) {
+		if h.Domain == l.Self.Domain {
+			packets = append(packets, Packet{To: h.Gossip, Hosts: []Host{l.Self}})
+		}
+	}
+	l.rand.Shuffle(len(packets), func(i, j int) { packets[i], packets[j] = packets[j], packets[i] })
+	return packets[:min(len(packets), most)]
+}
+
 // Answer is what a host that has asked is told.
 func (l *List) Answer(now clock.Milli, to string) Packet {
 	l.start()
--- a/share/member/member_test.go
+++ b/share/member/member_test.go
@@ -150,3 +150,36 @@
 	w.run(20 * clock.Second)
 	assert.Equal(t, w.fewest(), 19)
 }
+
+// A host has news for its neighbors. Each of the own failure domain gets a
+// packet, no other host does, and where there are more than it may tell at once
+// none is left out for good.
+func TestNearHostsAreTold(t *testing.T) {
+	l := List{Self: Host{Gossip: "10.0.0.1:1", Domain: "d0"}}
+	var hosts []Host
+	for i := range 40 {
+		hosts = append(hosts, Host{Gossip: fmt.Sprintf("10.0.1.%d:1", i), Domain: fmt.Sprintf("d%d", i%2), Beat: 1})
+	}
+	l.Hear(1000, hosts)
+	assert.Equal(t, len(l.Near(1000, 100)), 20)
+	told := map[string]bool{}
+	for range 40 {
+		packets := l.Near(1000, 5)
+		assert.Equal(t, len(packets), 5)
+		for _, p := range packets {
+			told[p.To] = true
+		}
+	}
+	assert.Equal(t, len(told), 20)
+}
+
+// News of leafs arrives as it was sent, and nonsense within bounds.
+func TestLeafNewsTravels(t *testing.T) {
+	sent := []Leaf{{ID: "i-1", Late: 170, Failing: 0.25}, {ID: "i-2"}, {ID: "i-3", Late: -5, Failing: 3}}
+	body, err := Encode(Packet{Hosts: []Host{{Gossip: "10.0.0.1:1"}}, Leafs: sent})
+	assert.NilError(t, err)
+	p, err := Decode(body)
+	assert.NilError(t, err)
+	sent[2].Late, sent[2].Failing = 0, 1
+	assert.DeepEqual(t, p.Leafs, sent)
+}
--- a/share/router/done.go
+++ b/share/router/done.go
@@ -24,6 +24,8 @@
 	f.drop(a)
 	e.do(Ended{Service: f.Service, Domain: f.Domain, Kind: d.Kind, Took: now - a.sent})
 	e.learn(now, a, d)
+	f.calledAt = now
+	e.tell(now, f)
 	if !a.orphan {
 		e.result(now, a, d)
 		e.settle(now, s.query)
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -43,6 +43,8 @@
 	started  bool
 	// startedAt is when the first event came.
 	startedAt clock.Milli
+	// delayedAt is when this host was last seen to have stood still.
+	delayedAt clock.Milli
 }
 
 // service is what this host knows of one service.
@@ -59,6 +61,7 @@
 	}
 	e.started = true
 	e.startedAt = now
+	e.delayedAt = now - mistrust
 	e.Policy = e.Policy.filled()
 	e.hosts = e.Policy.Hosts
 	e.peers = map[string]*peer{}
@@ -76,6 +79,7 @@
 func (e *Engine) Handle(now clock.Milli, ev Event) []Action {
 	e.start(now)
 	e.actions = nil
+	e.notice(now)
 	switch ev := ev.(type) {
 	case Arrive:
 		e.arrive(now, ev)
@@ -93,6 +97,8 @@
 		e.probed(now, ev)
 	case Absent:
 		e.absent(now, ev)
+	case HeardOfLeafs:
+		e.heardOfLeafs(now, ev.List)
 	case Tick:
 	}
 	e.ring(now)
--- a/share/router/leaf.go
+++ b/share/router/leaf.go
@@ -47,6 +47,9 @@
 	removed   bool
 	// hosts is how many hosts share the leaf.
 	hosts int
+	told  told
+	// calledAt is when a call from here ended last.
+	calledAt clock.Milli
 }
 
 const (
--- a/share/router/router_test.go
+++ b/share/router/router_test.go
@@ -25,6 +25,8 @@
 	answers map[uint64]Answer
 	notes   []Note
 	told    []Strike
+	// leafNews is what was told to the other hosts of the domain.
+	leafNews []LeafNews
 }
 
 const (
@@ -57,6 +59,8 @@
 			r.answers[a.Query] = a
 		case Tell:
 			r.told = append(r.told, a.List...)
+		case TellOfLeafs:
+			r.leafNews = append(r.leafNews, a.List...)
 		case Note:
 			r.notes = append(r.notes, a)
 		}
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -273,13 +273,14 @@
 	NoteCrash
 	NoteLimitSet
 	NoteLimitLifted
+	NoteLeafHeard
 )
 
 var noteNames = [...]string{
 	"admitted", "answered", "answered-in-part", "refused", "caller-gone", "hedged", "retried",
 	"second-call-withheld", "relayed", "relay-failed", "leaf-suspect", "leaf-trusted", "leaf-new", "leaf-drains", "leaf-gone",
 	"routes-in-force", "domain-out", "domain-back", "peer-suspect", "peers", "leaf-crashed",
-	"limit-set", "limit-lifted",
+	"limit-set", "limit-lifted", "leaf-heard",
 }
 
 // String names the kind as logs and metrics do.
@@ -289,7 +290,7 @@
 // full, or a changed belief; such notes are kept when others are dropped.
 func (k NoteKind) Failure() bool {
 	switch k {
-	case NoteAdmitted, NoteAnswered, NoteHedged, NoteRelayed:
+	case NoteAdmitted, NoteAnswered, NoteHedged, NoteRelayed, NoteLeafHeard:
 		return false
 	}
 	return true
--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -27,6 +27,9 @@
 	last []router.Peer
 	// strikes are passed on with each packet of the next rounds.
 	strikes []toldStrike
+	// leafs waits to be told to the hosts of the own failure domain.
+	leafs map[string]router.LeafNews
+	flush *time.Timer
 }
 
 // toldStrike is a strike and how often it is still to be passed on.
@@ -61,6 +64,52 @@
 	}
 }
 
+const (
+	// newsPause is how long news of leafs is gathered: a few of a host's calls
+	// show the same within this time, and a leaf's pause lasts many times as long.
+	newsPause = 15 * time.Millisecond
+	// newsHosts bounds the hosts that are told at once.
+	newsHosts = 24
+	// newsAtOnce bounds the leafs that one packet tells of.
+	newsAtOnce = 40
+)
+
+// tellLeafs passes news of leafs on to the hosts of the own failure domain.
+func (p *peers) tellLeafs(list []router.LeafNews) {
+	if p.conn == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leafs == nil {
+		p.leafs = map[string]router.LeafNews{}
+	}
+	for _, n := range list {
+		if len(p.leafs) < newsAtOnce {
+			p.leafs[n.Leaf] = n
+		}
+	}
+	if p.flush == nil {
+		p.flush = time.AfterFunc(newsPause, p.sendLeafs)
+	}
+}
+
+// sendLeafs sends the news that has been gathered.
+func (p *peers) sendLeafs() {
+	p.mu.Lock()
+	list := make([]member.Leaf, 0, len(p.leafs))
+	for _, n := range p.leafs {
+		list = append(list, member.Leaf{ID: n.Leaf, Late: n.Late, Failing: n.Failing})
+	}
+	p.leafs, p.flush = nil, nil
+	packets := p.list.Near(p.tier.Clock.Now(), newsHosts)
+	p.mu.Unlock()
+	for i := range packets {
+		packets[i].Leafs = list
+	}
+	p.send(packets)
+}
+
 // takeStrikes are the strikes for one packet.
 func (p *peers) takeStrikes() []member.Strike {
 	p.mu.Lock()
@@ -125,6 +174,11 @@
 		return nil
 	}
 	close(p.stop)
+	p.mu.Lock()
+	if p.flush != nil {
+		p.flush.Stop()
+	}
+	p.mu.Unlock()
 	err := p.conn.Close()
 	p.done.Wait()
 	return err
@@ -171,6 +225,13 @@
 		}
 		p.tier.post(router.Strikes{List: list})
 	}
+	if len(packet.Leafs) > 0 {
+		list := make([]router.LeafNews, len(packet.Leafs))
+		for i, f := range packet.Leafs {
+			list[i] = router.LeafNews{Leaf: f.ID, Late: f.Late, Failing: f.Failing}
+		}
+		p.tier.post(router.HeardOfLeafs{List: list})
+	}
 	if news {
 		p.report()
 	}
--- a/share/tier/tier.go
+++ b/share/tier/tier.go
@@ -207,6 +207,8 @@
 			t.callers.answer(a)
 		case router.Tell:
 			t.peers.strike(a.List)
+		case router.TellOfLeafs:
+			t.peers.tellLeafs(a.List)
 		case router.Ended:
 			t.ended(a)
 		case router.Note:
