limit: the early limit holds in crowds only

Change: a quarter of late answers sets the limit only while queries come at 1.25 times their usual rate, by the time between them.

--- a/share/limit/limit.go
+++ b/share/limit/limit.go
@@ -25,16 +25,28 @@
 	cutAt clock.Milli
 	// usual is the smoothed number under way while there is no limit.
 	usual float64
+	// came is when the last query came; pause and usualPause are the smoothed
+	// time between two, of late and usually, in ms.
+	came              clock.Milli
+	pause, usualPause float64
+	// arrivals counts the queries that came.
+	arrivals float64
 }
 
 const (
 	// lateGain smooths the share of late answers over some twelve: a second's
 	// worth at an ordinary host.
 	lateGain = 1.0 / 12
-	// lateSome is the share of late answers from which on queries beyond the
-	// usual number are turned away. Single slow leafs make as many late, but
-	// bring no more queries than usual.
+	// lateSome is the share of late answers from which on, in a crowd, queries
+	// beyond the usual number are turned away. Single slow leafs make as many
+	// late, but bring no more queries than usual.
 	lateSome = 0.25
+	// crowd is how many times as many queries as usual make a crowd.
+	crowd = 1.25
+	// pauseGain smooths the time between queries over enough of them to tell a
+	// crowd from chance, and usualPauseGain over several crowds.
+	pauseGain      = 1.0 / 10
+	usualPauseGain = 1.0 / 400
 	// lateMost is the share from which on the usual number is too many: leafs
 	// have lost more of their speed than the queries can do without.
 	lateMost = 0.5
@@ -60,6 +72,25 @@
 	liftSlack = 4.0
 )
 
+// Came records a query that asks to go under way.
+func (l *Limiter) Came(now clock.Milli) {
+	if l.came == 0 {
+		l.came = now
+		return
+	}
+	pause := float64(now - l.came)
+	l.came = now
+	if l.usualPause == 0 {
+		l.pause, l.usualPause = pause, pause
+	}
+	l.pause += (pause - l.pause) * pauseGain
+	l.arrivals++
+	l.usualPause += (pause - l.usualPause) * max(usualPauseGain, 1/l.arrivals)
+}
+
+// Crowd tells whether far more queries come than usual.
+func (l *Limiter) Crowd() bool { return l.pause*crowd < l.usualPause }
+
 // Admits tells whether one more query goes under way. Of those beyond the limit
 // a part is let in all the same: leafs may be late for another reason than their
 // load, and then to turn callers away helps nobody. Late queries, whose target
@@ -93,12 +124,16 @@
 func (l *Limiter) Missed(now clock.Milli) {
 	l.late += (1 - l.late) * lateGain
 	l.learn()
-	if l.late < lateSome || now < l.cutAt+cutPause {
+	if now < l.cutAt+cutPause {
 		return
 	}
 	floor := least
-	if l.late < lateMost {
+	switch {
+	case l.late >= lateMost:
+	case l.late >= lateSome && l.Crowd():
 		floor = max(least, l.usual*usualSlack)
+	default:
+		return
 	}
 	under := float64(l.Open)
 	if under <= floor {
--- a/share/limit/limit_test.go
+++ b/share/limit/limit_test.go
@@ -62,23 +62,54 @@
 // the leafs to be broken, enough for the crowd to be too much. The host goes back
 // towards its usual number, and not below it.
 func TestCrowdIsCutBackToTheUsual(t *testing.T) {
-	var l Limiter
-	l.Open = 6
-	for range 100 {
-		l.Met()
-	}
+	l, now := usually(6)
+	assert.Assert(t, !l.Crowd())
 	l.Open = 14
 	for i := range 60 {
+		now += 20
+		l.Came(now)
 		if i%5 < 2 {
-			l.Missed(clock.Milli(i * 20))
+			l.Missed(now)
 			continue
 		}
 		l.Met()
 	}
+	assert.Assert(t, l.Crowd())
 	assert.Assert(t, l.Active())
 	assert.Assert(t, l.limit >= 6*usualSlack && l.limit < 14, "limit %.1f", l.limit)
 }
 
+// Some leafs are slow, so that queries stay under way for longer and four in ten
+// are late, while no more come than usual. To turn some away would help none of
+// the others.
+func TestSlowLeafsAreNoCrowd(t *testing.T) {
+	l, now := usually(6)
+	l.Open = 14
+	for i := range 200 {
+		now += 50
+		l.Came(now)
+		if i%5 < 2 {
+			l.Missed(now)
+			continue
+		}
+		l.Met()
+	}
+	assert.Assert(t, !l.Active(), "limit %.1f", l.limit)
+}
+
+// usually is a limiter after a minute with so many queries under way, twenty a
+// second, and the time.
+func usually(under int) (*Limiter, clock.Milli) {
+	l := &Limiter{Open: under}
+	now := clock.Milli(1000)
+	for range 1200 {
+		now += 50
+		l.Came(now)
+		l.Met()
+	}
+	return l, now
+}
+
 // Callers come back while queries are turned away. They may take room below the
 // limit, but are not let in beyond it: each would make another late that can
 // still be in time.
--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -50,6 +50,9 @@
 		e.refuse(now, q, NoLeaf, cause)
 		return
 	}
+	if r.Merged() && !q.relayed {
+		e.limiter.Came(now)
+	}
 	if r.Merged() && !q.relayed && (!q.late || e.limiter.Active()) {
 		if !e.limiter.Admits(q.late) {
 			e.refuse(now, q, NoRoom, fmt.Sprintf("answers come too late: %d queries are under way, the limit is %.0f", e.limiter.Open, e.limiter.Limit()))
