--- a/share/hop/dialect.go
+++ b/share/hop/dialect.go
@@ -35,18 +35,18 @@
 
 // Headers between hosts of the system.
 const (
-	// HeaderRelayTarget says in how many ms a relayed request's answer must
+	// HeaderForwardTarget says in how many ms a forwarded request's answer must
 	// leave.
-	HeaderRelayTarget = "Relay-Target-Ms"
-	// HeaderRelayShards names the shards that are asked for, and
-	// HeaderRelayMissing those that the answer lacks, with commas between.
-	HeaderRelayShards  = "Relay-Shards"
-	HeaderRelayMissing = "Relay-Missing"
-	// HeaderRelayLate stands on a request whose caller's target had passed when
+	HeaderForwardTarget = "Relay-Target-Ms"
+	// HeaderForwardShards names the shards that are asked for, and
+	// HeaderForwardMissing those that the answer lacks, with commas between.
+	HeaderForwardShards  = "Relay-Shards"
+	HeaderForwardMissing = "Relay-Missing"
+	// HeaderForwardLate stands on a request whose caller's target had passed when
 	// it came to the sender.
-	HeaderRelayLate = "Relay-Late"
-	// HeaderRelayVersion is the configuration that the sender goes by.
-	HeaderRelayVersion = "Relay-Version"
-	// HeaderRelayWorked says how many ms the other host worked on it.
-	HeaderRelayWorked = "Relay-Worked-Ms"
+	HeaderForwardLate = "Relay-Late"
+	// HeaderForwardVersion is the configuration that the sender goes by.
+	HeaderForwardVersion = "Relay-Version"
+	// HeaderForwardWorked says how many ms the other host worked on it.
+	HeaderForwardWorked = "Relay-Worked-Ms"
 )
--- a/share/hop/hop_test.go
+++ b/share/hop/hop_test.go
@@ -350,17 +350,17 @@
 	assert.Assert(t, d.Kind.NotRun())
 }
 
-// A call broke. Whether its leaf went down with it shows a knock: where nobody
+// A call broke. Whether its leaf went down with it shows a connection check: where nobody
 // listens the leaf is told absent; where somebody does, nothing is told.
-func TestKnockTellsOnlyOfAbsentLeafs(t *testing.T) {
+func TestConnCheckTellsOnlyOfAbsentLeafs(t *testing.T) {
 	absent := make(chan router.Absent, 2)
 	p := &Pool{Dialect: Own, Clock: clock.Wall{}, Absent: func(a router.Absent) { absent <- a }}
 	here := serve(t, func(net.Conn, *bufio.Reader) {})
 	gone, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p.Knock(router.Knock{Leaf: "here", Address: here.ln.Addr().String()})
+	p.CheckConn(router.CheckConn{Leaf: "here", Address: here.ln.Addr().String()})
 	assert.NilError(t, gone.Close())
-	p.Knock(router.Knock{Leaf: "gone", Address: gone.Addr().String()})
+	p.CheckConn(router.CheckConn{Leaf: "gone", Address: gone.Addr().String()})
 	select {
 	case a := <-absent:
 		assert.Equal(t, a.Leaf, "gone")
--- a/share/hop/pool.go
+++ b/share/hop/pool.go
@@ -33,7 +33,7 @@
 	Source string
 	Clock  clock.Clock
 	// Report takes the end of a call, Probed that of a probe, and Absent the
-	// news that a knock found nobody, from any goroutine.
+	// news that a connection check found nobody, from any goroutine.
 	Report func(router.Done)
 	Probed func(router.Probed)
 	Absent func(router.Absent)
@@ -68,16 +68,16 @@
 	p.wait.Go(func() { p.run(ctx, s, q) })
 }
 
-// Relay hands a request to another host; it ends with a report as Send does.
-func (p *Pool) Relay(r router.Relay) {
+// Forward hands a request to another host; it ends with a report as Send does.
+func (p *Pool) Forward(r router.Forward) {
 	s := router.Send{Call: r.Call, Request: r.Request, Leaf: r.Address, Address: r.Address, Left: r.Left}
 	q := p.request(s)
 	delete(q.Header, p.Dialect.ExpectLeaf)
-	q.Header[HeaderRelayTarget] = []string{strconv.FormatInt(int64(r.Target), 10)}
-	q.Header[HeaderRelayShards] = []string{strings.Join(r.Shards, ",")}
-	q.Header[HeaderRelayVersion] = []string{strconv.FormatUint(r.Version, 10)}
+	q.Header[HeaderForwardTarget] = []string{strconv.FormatInt(int64(r.Target), 10)}
+	q.Header[HeaderForwardShards] = []string{strings.Join(r.Shards, ",")}
+	q.Header[HeaderForwardVersion] = []string{strconv.FormatUint(r.Version, 10)}
 	if r.Late {
-		q.Header[HeaderRelayLate] = []string{"1"}
+		q.Header[HeaderForwardLate] = []string{"1"}
 	}
 	p.start(s, q)
 	p.Warm(r.Address)
@@ -87,7 +87,7 @@
 const mostSpare = 2
 
 // Warm opens a connection ahead to another host if few are idle, so that the
-// next relayed request does not pay for the way there and back once more.
+// next forwarded request does not pay for the way there and back once more.
 func (p *Pool) Warm(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -129,10 +129,10 @@
 	})
 }
 
-// Knock opens a connection to a leaf, and closes it, to see whether anybody
+// CheckConn opens a connection to a leaf, and closes it, to see whether anybody
 // listens there. A connection that is not answered tells nothing: the way may be
 // cut.
-func (p *Pool) Knock(k router.Knock) {
+func (p *Pool) CheckConn(k router.CheckConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -232,7 +232,7 @@
 
 // call makes one call over an idle connection or a new one.
 func (p *Pool) call(ctx context.Context, s router.Send, q *http.Request) router.Done {
-	j := &job{request: q, unsigned: relayed(q), done: make(chan result, 1)}
+	j := &job{request: q, unsigned: forwarded(q), done: make(chan result, 1)}
 	c := p.take(s.Leaf, j)
 	if c == nil {
 		began := p.Clock.Now()
@@ -262,8 +262,8 @@
 	return router.Done{Kind: call.NotSent, Cause: short(err)}
 }
 
-// relayed tells whether a request goes to another host.
-func relayed(q *http.Request) bool { return len(q.Header[HeaderRelayTarget]) > 0 }
+// forwarded tells whether a request goes to another host.
+func forwarded(q *http.Request) bool { return len(q.Header[HeaderForwardTarget]) > 0 }
 
 // exchange sends the request and waits for the end of the call.
 func (p *Pool) exchange(ctx context.Context, c *conn, j *job, s router.Send) router.Done {
@@ -306,7 +306,7 @@
 		c.shut()
 	}
 	done := p.classify(r.reply)
-	if done.Kind == call.Answered && relayed(j.request) {
+	if done.Kind == call.Answered && forwarded(j.request) {
 		p.merged(&done)
 	}
 	return done
@@ -325,14 +325,14 @@
 
 // merged reads what another host tells of its merged answer.
 func (p *Pool) merged(d *router.Done) {
-	ms, err := strconv.ParseInt(d.Reply.Header.Get(HeaderRelayWorked), 10, 64)
+	ms, err := strconv.ParseInt(d.Reply.Header.Get(HeaderForwardWorked), 10, 64)
 	if err == nil {
 		d.Worked = clock.Milli(ms)
 	}
 	// A time that cannot be read is as one not told: the way is not learnt.
 	r := d.Reply
 	r.Stamp = r.Header.Get(p.Dialect.Parts)
-	if list := r.Header.Get(HeaderRelayMissing); list != "" {
+	if list := r.Header.Get(HeaderForwardMissing); list != "" {
 		r.Missing = strings.Split(list, ",")
 	}
 }
--- a/share/member/codec.go
+++ b/share/member/codec.go
@@ -19,7 +19,7 @@
 			Gossip: h.Gossip, RelayPort: port(h.Relay), Domain: h.Domain, Started: h.Started, Beat: h.Beat, Leaving: h.Leaving,
 		}
 	}
-	for _, s := range p.Strikes {
+	for _, s := range p.Crashes {
 		g.Strikes = append(g.Strikes, &wire.GossipStrike{Fingerprint: s.Fingerprint, Leaf: s.Leaf, AgeMs: uint32(max(0, s.Age))})
 	}
 	for _, f := range p.Leafs {
@@ -50,7 +50,7 @@
 	}
 	p := Packet{Hosts: hosts, Ask: g.GetAsk()}
 	for _, s := range g.GetStrikes() {
-		p.Strikes = append(p.Strikes, Strike{Fingerprint: s.GetFingerprint(), Leaf: s.GetLeaf(), Age: clock.Milli(s.GetAgeMs())})
+		p.Crashes = append(p.Crashes, Crash{Fingerprint: s.GetFingerprint(), Leaf: s.GetLeaf(), Age: clock.Milli(s.GetAgeMs())})
 	}
 	for _, f := range g.GetLeafs() {
 		p.Leafs = append(p.Leafs, Leaf{
--- a/share/member/member.go
+++ b/share/member/member.go
@@ -75,15 +75,15 @@
 	To string
 	// Hosts begins with the sender.
 	Hosts []Host
-	// Strikes and Leafs pass through: they are the caller's.
-	Strikes []Strike
+	// Crashes and Leafs pass through: they are the caller's.
+	Crashes []Crash
 	Leafs   []Leaf
 	// Ask asks the receiver to answer with what it knows.
 	Ask bool
 }
 
-// Strike says that a request was at a leaf when it went down.
-type Strike struct {
+// Crash says that a request was at a leaf when it went down.
+type Crash struct {
 	Fingerprint uint64
 	Leaf        string
 	Age         clock.Milli
--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -15,7 +15,7 @@
 
 // arrive takes a request in, or turns it away at once.
 func (e *Engine) arrive(now clock.Milli, a Arrive) {
-	q := &query{id: a.Query, request: a.Request, arrived: now, relayed: a.Relayed}
+	q := &query{id: a.Query, request: a.Request, arrived: now, forwarded: a.Forwarded}
 	if e.table == nil {
 		e.refuse(now, q, NoConfig, "no routes are known yet")
 		return
@@ -31,8 +31,8 @@
 		return
 	}
 	q.route = r
-	q.print = fingerprint(a.Request)
-	if e.crashes.blocked(now, q.print) {
+	q.fingerprint = fingerprint(a.Request)
+	if e.crashes.blocked(now, q.fingerprint) {
 		e.refuse(now, q, Harmful, "leafs went down under it")
 		return
 	}
@@ -50,10 +50,10 @@
 		e.refuse(now, q, NoLeaf, cause)
 		return
 	}
-	if r.Merged() && !q.relayed {
+	if r.Merged() && !q.forwarded {
 		e.limiter.Came(now)
 	}
-	if r.Merged() && !q.relayed && (!q.late || e.limiter.Active()) {
+	if r.Merged() && !q.forwarded && (!q.late || e.limiter.Active()) {
 		if !e.limiter.Admits(q.late) {
 			e.refuse(now, q, NoRoom, fmt.Sprintf("answers come too late: %d queries are under way, the limit is %.0f", e.limiter.Open, e.limiter.Limit()))
 			return
@@ -64,14 +64,14 @@
 	e.queries[q.id] = q
 	e.do(Note{
 		Kind: NoteAdmitted, Request: q.request.ID, Query: q.id, Route: r.Name, Version: q.version, Of: len(q.shards),
-		Wait: a.Wait, Passed: passed, Due: q.target - now, Remote: a.Remote, Forwarded: q.relayed, Late: q.late,
+		Wait: a.Wait, Passed: passed, Due: q.target - now, Remote: a.Remote, Forwarded: q.forwarded, Late: q.late,
 	})
 	here := q.shards
-	if !a.Relayed {
+	if !a.Forwarded {
 		var away []handover
 		here, away = e.split(now, q)
 		for _, h := range away {
-			e.relay(now, q, h.peer, h.shards)
+			e.forward(now, q, h.peer, h.shards)
 		}
 	}
 	for _, s := range here {
@@ -90,9 +90,9 @@
 // for shards that the route does not have here.
 func (e *Engine) asked(r *route.Route, a Arrive) ([]string, bool) {
 	if !r.Merged() {
-		return []string{e.turn(r)}, !a.Relayed
+		return []string{e.nextService(r)}, !a.Forwarded
 	}
-	if !a.Relayed {
+	if !a.Forwarded {
 		return r.Shards, true
 	}
 	for _, name := range a.Shards {
@@ -112,9 +112,9 @@
 		wait = defaultWait
 	}
 	q.end = now + wait
-	if a.Relayed {
+	if a.Forwarded {
 		q.late = a.Late
-		q.target = min(now+max(a.Target-relaySlack, leastTime), q.end)
+		q.target = min(now+max(a.Target-forwardSlack, leastTime), q.end)
 		return 0
 	}
 	if r.Timeout > 0 {
@@ -141,29 +141,29 @@
 	return passed
 }
 
-// relaySlack is taken off a relayed request's target for the turn of the host
+// forwardSlack is taken off a forwarded request's target for the turn of the host
 // that has the caller.
-const relaySlack clock.Milli = 4
+const forwardSlack clock.Milli = 4
 
 // leastTime is what an answer takes at least; with less left, the target is
 // taken as missed and the query as late.
 const leastTime clock.Milli = 15
 
-// turns shares a route's requests between its services by their weights.
-type turns struct{ credit map[string]float64 }
+// roundRobin shares a route's requests between its services by their weights.
+type roundRobin struct{ credit map[string]float64 }
 
-// turn chooses the service of the next request: each service earns its weight,
+// nextService chooses the service of the next request: each service earns its weight,
 // the one with most credit is taken and pays for the round. The shares are
 // exact over any run of requests, and do not follow the services' load: the
 // operators' weights are a decision, not a hint.
-func (e *Engine) turn(r *route.Route) string {
+func (e *Engine) nextService(r *route.Route) string {
 	if len(r.Services) == 1 {
 		return r.Services[0].Service
 	}
-	t := e.turns[r.Name]
+	t := e.rounds[r.Name]
 	if t == nil {
-		t = &turns{credit: map[string]float64{}}
-		e.turns[r.Name] = t
+		t = &roundRobin{credit: map[string]float64{}}
+		e.rounds[r.Name] = t
 	}
 	sum, best := 0.0, -1
 	for i, w := range r.Services {
@@ -215,7 +215,7 @@
 	}
 	need := 1
 	switch {
-	case q.relayed:
+	case q.forwarded:
 		need = 0
 	case q.route.Merged():
 		need = q.route.Least()
@@ -229,7 +229,7 @@
 // reachable tells whether a shard has a leaf that may be asked.
 func (e *Engine) reachable(now clock.Milli, s *shard) bool {
 	for _, f := range e.services[s.service].leafs {
-		if e.usable(f, s) && (!f.suspect || now >= f.probeAt) {
+		if e.usable(f, s) && (!f.unhealthy || now >= f.probeAt) {
 			return true
 		}
 	}
--- a/share/router/crash_test.go
+++ b/share/router/crash_test.go
@@ -10,7 +10,7 @@
 	"dandelionstile/share/roster"
 )
 
-// crashRig has a service of many leafs and passes strikes on to a second host.
+// crashRig has a service of many leafs and passes crashes on to a second host.
 func crashRig(t *testing.T) *rig {
 	t.Helper()
 	r := newRig(t)
@@ -30,11 +30,11 @@
 	r.ends(s, call.Broken)
 	r.engine.leafDown(r.now, r.engine.leafs[s.Leaf])
 	for _, a := range r.engine.actions {
-		if tell, ok := a.(Tell); ok {
+		if tell, ok := a.(TellCrashes); ok {
 			r.told = append(r.told, tell.List...)
 		}
 	}
-	r.engine.leafs[s.Leaf].suspect = true
+	r.engine.leafs[s.Leaf].unhealthy = true
 	r.engine.leafs[s.Leaf].probeAt = r.now + 100000
 }
 
@@ -55,7 +55,7 @@
 	assert.Equal(t, len(r.sends), sent+1)
 
 	other := crashRig(t)
-	other.handle(Strikes{List: r.told})
+	other.handle(Crashes{List: r.told})
 	q = other.arrive("/one/bad", 4000)
 	assert.Equal(t, other.answers[q].Refusal, Harmful)
 	assert.Equal(t, len(other.sends), 0)
@@ -79,22 +79,22 @@
 }
 
 // A request brings down each leaf that runs it and is sent once in a while. No
-// other request follows to the leafs that went down, which are avoided: a knock
+// other request follows to the leafs that went down, which are avoided: a connection check
 // finds each of them gone, or the request would never be told from one whose
 // answers are lost.
-func TestLeafThatWentDownIsFoundGoneByAKnock(t *testing.T) {
+func TestLeafThatWentDownIsFoundGoneByAConnCheck(t *testing.T) {
 	r := crashRig(t)
 	for range crashLeafs {
 		r.arrive("/one/bad", 4000)
 		s := r.last()
 		r.ends(s, call.Broken)
-		var knocks []Knock
+		var checks []CheckConn
 		for _, a := range r.engine.actions {
-			if k, ok := a.(Knock); ok {
-				knocks = append(knocks, k)
+			if k, ok := a.(CheckConn); ok {
+				checks = append(checks, k)
 			}
 		}
-		assert.DeepEqual(t, knocks, []Knock{{Leaf: s.Leaf, Address: s.Address}})
+		assert.DeepEqual(t, checks, []CheckConn{{Leaf: s.Leaf, Address: s.Address}})
 		r.handle(Absent{Leaf: s.Leaf})
 		r.pass(3000)
 	}
@@ -102,23 +102,23 @@
 	assert.Equal(t, r.answers[q].Refusal, Harmful)
 }
 
-// Half of all answers are lost for a while. A leaf is knocked at now and then, not
+// Half of all answers are lost for a while. A leaf has a connection check now and then, not
 // once for each.
-func TestLostAnswersCauseFewKnocks(t *testing.T) {
+func TestLostAnswersCauseFewConnChecks(t *testing.T) {
 	r := crashRig(t)
-	knocks := 0
+	checks := 0
 	for range 200 {
 		r.arrive("/one/x", 4000)
 		r.ends(r.last(), call.Broken)
 		for _, a := range r.engine.actions {
-			if _, ok := a.(Knock); ok {
-				knocks++
+			if _, ok := a.(CheckConn); ok {
+				checks++
 			}
 		}
 		r.pass(10)
 	}
-	most := 8 * (200*10/int(knockPause) + 1)
-	assert.Assert(t, knocks <= most, "%d knocks at 8 leafs in two seconds, at most %d", knocks, most)
+	most := 8 * (200*10/int(connCheckPause) + 1)
+	assert.Assert(t, checks <= most, "%d checks at 8 leafs in two seconds, at most %d", checks, most)
 }
 
 // Many callers send the same request, and leafs answer it well. Then four leafs
@@ -149,7 +149,7 @@
 			at[r.last().Leaf] = true
 		}
 		for _, s := range sends {
-			if !r.engine.leafs[s.Leaf].suspect {
+			if !r.engine.leafs[s.Leaf].unhealthy {
 				r.down(s)
 			}
 		}
@@ -159,14 +159,14 @@
 		r := crashRig(t)
 		r.arrive("/one/popular", 4000)
 		r.good(r.last())
-		r.handle(Strikes{List: strikesOf("/one/popular", 5)})
+		r.handle(Crashes{List: strikesOf("/one/popular", 5)})
 		r.servesPopular()
 	})
 	t.Run("answered after the blame", func(t *testing.T) {
 		r := crashRig(t)
 		r.arrive("/one/popular", 4000)
 		open := r.last()
-		r.handle(Strikes{List: strikesOf("/one/popular", 5)})
+		r.handle(Crashes{List: strikesOf("/one/popular", 5)})
 		r.good(open)
 		r.servesPopular()
 	})
@@ -178,7 +178,7 @@
 	r := crashRig(t)
 	r.arrive("/one/x", 4000)
 	r.good(r.last())
-	r.pass(2*wellMemory + 1)
+	r.pass(2*provenMemory + 1)
 	for range crashLeafs {
 		r.arrive("/one/x", 4000)
 		r.down(r.last())
@@ -187,12 +187,12 @@
 	assert.Equal(t, r.answers[q].Refusal, Harmful)
 }
 
-// strikesOf are another host's strikes for a request.
-func strikesOf(path string, leafs int) []Strike {
-	print := fingerprint(&call.Request{Method: "GET", Host: "h", Target: path})
-	var list []Strike
+// strikesOf are another host's crashes for a request.
+func strikesOf(path string, leafs int) []Crash {
+	fingerprint := fingerprint(&call.Request{Method: "GET", Host: "h", Target: path})
+	var list []Crash
 	for i := range leafs {
-		list = append(list, Strike{Fingerprint: print, Leaf: fmt.Sprintf("elsewhere-%d", i), Age: 100})
+		list = append(list, Crash{Fingerprint: fingerprint, Leaf: fmt.Sprintf("elsewhere-%d", i), Age: 100})
 	}
 	return list
 }
--- a/share/router/done.go
+++ b/share/router/done.go
@@ -9,8 +9,8 @@
 
 // done takes the end of a call.
 func (e *Engine) done(now clock.Milli, d Done) {
-	if r := e.relays[d.Call]; r != nil {
-		e.relayed(now, r, d)
+	if r := e.forwards[d.Call]; r != nil {
+		e.forwarded(now, r, d)
 		return
 	}
 	a := e.calls[d.Call]
@@ -46,35 +46,35 @@
 		e.regions[f.region].observe(took)
 		e.answered(now, a.shard.query)
 		if f.replied(now) {
-			e.do(Note{Kind: NoteLeafTrusted, Leaf: f.ID, Service: f.Service, Cause: "it answered", Took: now - a.sent})
+			e.do(Note{Kind: NoteLeafHealthy, Leaf: f.ID, Service: f.Service, Cause: "it answered", Took: now - a.sent})
 		}
 	case d.Kind == call.Answered, d.Kind == call.Shed:
 		f.judge(now, 1)
-		f.strikes = 0
+		f.failures = 0
 	case d.Kind == call.Cancelled:
 		// Its reply would have taken longer still.
 		if took > f.lat {
 			f.observe(now, took)
 		}
 		if took > f.expected(now, e.usual(f))+hedgeDeviations*f.dev+stallSlack {
-			e.strike(now, f, suspectAfter, "no reply", now-a.sent)
+			e.callFailed(now, f, unhealthyAfter, "no reply", now-a.sent)
 		}
 	case d.Kind == call.Foreign:
-		e.strike(now, f, 1, "another leaf has its address", now-a.sent)
+		e.callFailed(now, f, 1, "another leaf has its address", now-a.sent)
 	case d.Kind == call.Withdrawn:
 		if took > openSlack+openFloors*e.floor(f) {
-			e.strike(now, f, 1, "no connection yet", now-a.sent)
+			e.callFailed(now, f, 1, "no connection yet", now-a.sent)
 		}
 	case d.Kind == call.Full:
 		f.judge(now, 1)
-		f.strikes = 0
+		f.failures = 0
 	case d.Kind == call.NotSent:
 		e.leafDown(now, f)
-		e.strike(now, f, 1, d.Cause, now-a.sent)
+		e.callFailed(now, f, 1, d.Cause, now-a.sent)
 	default:
-		e.crashes.broke(now, f.ID, a.shard.query.print)
-		e.knock(now, f)
-		e.strike(now, f, brokenAfter, d.Cause, now-a.sent)
+		e.crashes.broke(now, f.ID, a.shard.query.fingerprint)
+		e.checkConn(now, f)
+		e.callFailed(now, f, brokenAfter, d.Cause, now-a.sent)
 	}
 }
 
@@ -82,7 +82,7 @@
 func (e *Engine) answered(now clock.Milli, q *query) {
 	if !q.well {
 		q.well = true
-		e.crashes.answered(now, q.print)
+		e.crashes.answered(now, q.fingerprint)
 	}
 }
 
@@ -95,9 +95,9 @@
 	openSlack  = 40.0
 )
 
-func (e *Engine) strike(now clock.Milli, f *leaf, most int, cause string, took clock.Milli) {
+func (e *Engine) callFailed(now clock.Milli, f *leaf, most int, cause string, took clock.Milli) {
 	if f.failed(now, most) && !f.removed {
-		e.do(Note{Kind: NoteLeafSuspect, Leaf: f.ID, Service: f.Service, Cause: cause, Took: took})
+		e.do(Note{Kind: NoteLeafUnhealthy, Leaf: f.ID, Service: f.Service, Cause: cause, Took: took})
 	}
 }
 
@@ -132,7 +132,7 @@
 		return
 	}
 	if !e.mayAsk(s, d.Kind.NotRun()) {
-		e.lose(s, "no attempt is left")
+		e.abandon(s, "no attempt is left")
 		return
 	}
 	if d.Kind.Unsent() {
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -26,7 +26,7 @@
 	hosts    int
 	peers    map[string]*peer
 	near     map[string][]*peer // by failure domain, in order of rank
-	relays   map[uint64]*relay
+	forwards map[uint64]*forward
 	leafs    map[string]*leaf
 	services map[string]*service
 	regions  map[string]*region
@@ -34,7 +34,7 @@
 	callers  callers
 	limiter  limit.Limiter
 	crashes  crashes
-	turns    map[string]*turns
+	rounds   map[string]*roundRobin
 	queries  map[uint64]*query
 	calls    map[uint64]*attempt
 	lastCall uint64
@@ -65,12 +65,12 @@
 	e.Policy = e.Policy.filled()
 	e.hosts = e.Policy.Hosts
 	e.peers = map[string]*peer{}
-	e.relays = map[uint64]*relay{}
+	e.forwards = map[uint64]*forward{}
 	e.leafs = map[string]*leaf{}
 	e.services = map[string]*service{}
 	e.regions = map[string]*region{}
 	e.waits = map[string]*fullWait{}
-	e.turns = map[string]*turns{}
+	e.rounds = map[string]*roundRobin{}
 	e.queries = map[uint64]*query{}
 	e.calls = map[uint64]*attempt{}
 }
@@ -91,8 +91,8 @@
 		e.facts(now, ev)
 	case Peers:
 		e.setPeers(now, ev.List)
-	case Strikes:
-		e.strikes(now, ev)
+	case Crashes:
+		e.heardOfCrashes(now, ev)
 	case Probed:
 		e.probed(now, ev)
 	case Absent:
@@ -101,7 +101,7 @@
 		e.heardOfLeafs(now, ev.List)
 	case Tick:
 	}
-	e.ring(now)
+	e.runAlarms(now)
 	return e.actions
 }
 
@@ -285,10 +285,10 @@
 
 // alarm is a time at which a query or a call has to be looked at.
 type alarm struct {
-	at    clock.Milli
-	query *query
-	call  *attempt
-	relay *relay
+	at      clock.Milli
+	query   *query
+	call    *attempt
+	forward *forward
 }
 
 type alarms []alarm
@@ -310,16 +310,16 @@
 	return x
 }
 
-// ring looks at everything that is due.
-func (e *Engine) ring(now clock.Milli) {
+// runAlarms looks at everything that is due.
+func (e *Engine) runAlarms(now clock.Milli) {
 	for len(e.alarms) > 0 && e.alarms[0].at <= now {
 		a := heap.Pop(&e.alarms).(alarm)
 		switch {
 		case a.call != nil:
 			e.expire(a.call)
-		case a.relay != nil:
-			if !a.relay.over {
-				e.do(Cancel{Call: a.relay.id})
+		case a.forward != nil:
+			if !a.forward.over {
+				e.do(Cancel{Call: a.forward.id})
 			}
 		case !a.query.over && a.at >= a.query.wakeAt:
 			e.look(now, a.query)
--- a/share/router/finish.go
+++ b/share/router/finish.go
@@ -23,7 +23,7 @@
 		return
 	}
 	e.miss(now, q)
-	e.rescue(now, q)
+	e.hedgeSlow(now, q)
 	e.settle(now, q)
 	if !q.over {
 		e.plan(now, q)
@@ -99,7 +99,7 @@
 // Parts of another host's query are not: they are answered with what there is
 // in time, while a refusal would have the same leafs asked once more.
 func (e *Engine) impatient(now clock.Milli, q *query) bool {
-	return !q.relayed && q.unsent() && now >= e.patience(q)
+	return !q.forwarded && q.unsent() && now >= e.patience(q)
 }
 
 // enough tells whether the shards that are in make an answer.
@@ -107,7 +107,7 @@
 	if !q.route.Merged() {
 		return q.in == 1
 	}
-	if q.relayed {
+	if q.forwarded {
 		return true
 	}
 	return q.in >= q.route.Least()
@@ -122,11 +122,11 @@
 	switch {
 	case open == 0 && e.enough(q):
 		e.answer(now, q)
-	case (now >= q.target || q.late && !q.relayed && e.limiter.Active()) && e.enough(q):
+	case (now >= q.target || q.late && !q.forwarded && e.limiter.Active()) && e.enough(q):
 		// While queries are turned away, a late one is not worth the work on its
 		// last shards.
 		e.answer(now, q)
-	case !q.route.Merged() && q.lost == 1, q.route.Merged() && !q.relayed && q.in+open < q.route.Least():
+	case !q.route.Merged() && q.lost == 1, q.route.Merged() && !q.forwarded && q.in+open < q.route.Least():
 		e.refuse(now, q, e.failure(q), "too few shards can still answer")
 	}
 }
@@ -155,7 +155,7 @@
 func (e *Engine) answer(now clock.Milli, q *query) {
 	n := Note{
 		Kind: NoteAnswered, Request: q.request.ID, Query: q.id, Route: q.route.Name, Version: q.version,
-		Took: now - q.arrived, Got: q.in, Of: len(q.shards), Extra: q.extra, Forwarded: q.relayed,
+		Took: now - q.arrived, Got: q.in, Of: len(q.shards), Extra: q.extra, Forwarded: q.forwarded,
 	}
 	n.Late = q.late || now > q.target+e.Policy.Margin
 	a := Answer{Query: q.id}
@@ -189,7 +189,7 @@
 	n := Note{
 		Kind: NoteRefused, Request: q.request.ID, Query: q.id, Version: q.version,
 		Cause: why.String() + ": " + cause, Refusal: why, Took: now - q.arrived, Got: q.in, Of: len(q.shards), Extra: q.extra,
-		Missing: q.missing(), Forwarded: q.relayed,
+		Missing: q.missing(), Forwarded: q.forwarded,
 	}
 	if q.route != nil {
 		n.Route = q.route.Name
@@ -254,7 +254,7 @@
 	for _, s := range q.shards {
 		e.release(now, s)
 		if s.away != nil {
-			e.leaveRelay(now, s.away)
+			e.leaveForward(now, s.away)
 		}
 	}
 }
--- a/share/router/relay.go
+++ b/share/router/forward.go
@@ -14,8 +14,8 @@
 // billed by the byte: 0.005 GB between regions for 0.013 on a calm day of 34 s
 // with seven hosts.
 
-// relay is a part of a query handed to another host.
-type relay struct {
+// forward is a part of a query handed to another host.
+type forward struct {
 	id     uint64
 	query  *query
 	peer   *peer
@@ -25,16 +25,16 @@
 	over   bool
 }
 
-// lateRelay is how many targets another host may take for parts of a late query.
+// lateForward is how many targets another host may take for parts of a late query.
 // With one, it sent what it had by then, and queries that lacked a few parts
 // failed as a whole.
-const lateRelay = 3
+const lateForward = 3
 
-// relay hands shards of a query to another host.
-func (e *Engine) relay(now clock.Milli, q *query, p *peer, group []*shard) {
+// forward hands shards of a query to another host.
+func (e *Engine) forward(now clock.Milli, q *query, p *peer, group []*shard) {
 	e.lastCall++
-	r := &relay{id: e.lastCall, query: q, peer: p, shards: group, sent: now}
-	e.relays[r.id] = r
+	r := &forward{id: e.lastCall, query: q, peer: p, shards: group, sent: now}
+	e.forwards[r.id] = r
 	p.out = append(p.out, r)
 	names := make([]string, len(group))
 	for i, s := range group {
@@ -46,18 +46,18 @@
 	}
 	due := q.target
 	if q.late {
-		due = min(now+lateRelay*q.route.Target, q.end)
+		due = min(now+lateForward*q.route.Target, q.end)
 	}
-	e.do(Relay{
+	e.do(Forward{
 		Call: r.id, Request: q.request, Address: p.Address, Version: q.version, Shards: names,
 		Target: due - now - clock.Milli(e.trip(p)), Left: q.end - now, Late: q.late,
 	})
-	e.do(Note{Kind: NoteRelayed, Request: q.request.ID, Query: q.id, Leaf: p.Address, Version: q.version, Of: len(group)})
+	e.do(Note{Kind: NoteForwarded, Request: q.request.ID, Query: q.id, Leaf: p.Address, Version: q.version, Of: len(group)})
 }
 
-// relayed takes the end of a relay.
-func (e *Engine) relayed(now clock.Milli, r *relay, d Done) {
-	delete(e.relays, r.id)
+// forwarded takes the end of forwarded shards.
+func (e *Engine) forwarded(now clock.Milli, r *forward, d Done) {
+	delete(e.forwards, r.id)
 	r.over = true
 	p, q := r.peer, r.query
 	for i, one := range p.out {
@@ -95,7 +95,7 @@
 }
 
 // merge takes the answer of another host for the shards that it has.
-func (e *Engine) merge(now clock.Milli, r *relay, reply *call.Reply) {
+func (e *Engine) merge(now clock.Milli, r *forward, reply *call.Reply) {
 	q := r.query
 	q.ran = true
 	if reply.Stamp != "" {
@@ -124,7 +124,7 @@
 			need--
 			continue
 		}
-		e.lose(s, s.cause)
+		e.abandon(s, s.cause)
 	}
 }
 
@@ -143,32 +143,32 @@
 // fallBack asks leafs from here for shards whose host has failed. The host may
 // have asked one leaf for each; it has asked no second one yet if it failed
 // soon, so that one more call stays within the attempts of the route.
-func (e *Engine) fallBack(now clock.Milli, r *relay, d Done) {
+func (e *Engine) fallBack(now clock.Milli, r *forward, d Done) {
 	soon := now-r.sent < clock.Milli(e.trip(r.peer))+hedgeLeast
 	for _, s := range r.shards {
 		if soon && e.askAgain(now, s) {
 			continue
 		}
-		e.lose(s, "the host it was handed to failed: "+d.Kind.String())
+		e.abandon(s, "the host it was handed to failed: "+d.Kind.String())
 	}
 }
 
-func (e *Engine) failed(now clock.Milli, r *relay, d Done) {
+func (e *Engine) failed(now clock.Milli, r *forward, d Done) {
 	e.do(Note{
-		Kind: NoteRelayFailed, Request: r.query.request.ID, Query: r.query.id, Leaf: r.peer.Address,
+		Kind: NoteForwardFailed, Request: r.query.request.ID, Query: r.query.id, Leaf: r.peer.Address,
 		Cause: d.Kind.String() + ": " + d.Cause, Took: now - r.sent, Of: len(r.shards),
 	})
 }
 
-// relayOrphanGrace is how long a relay that nobody needs may still take: its
+// forwardOrphanGrace is how long forwarded shards that nobody needs may still take: its
 // answer is due at about the time when the query was answered without it.
-const relayOrphanGrace clock.Milli = 150
+const forwardOrphanGrace clock.Milli = 150
 
-// leaveRelay lets a relay run out.
-func (e *Engine) leaveRelay(now clock.Milli, r *relay) {
+// leaveForward lets forwarded shards run out.
+func (e *Engine) leaveForward(now clock.Milli, r *forward) {
 	if r.orphan || r.over {
 		return
 	}
 	r.orphan = true
-	heap.Push(&e.alarms, alarm{at: now + relayOrphanGrace, relay: r})
+	heap.Push(&e.alarms, alarm{at: now + forwardOrphanGrace, forward: r})
 }
--- a/share/router/relay_test.go
+++ b/share/router/forward_test.go
@@ -30,19 +30,19 @@
 // Half of a query's shards have leafs in another region only. They cross the
 // long way as one request to a host there, which is told which shards, by which
 // configuration and until when; its answer is merged with the near replies.
-func TestFarShardsAreRelayedTogether(t *testing.T) {
+func TestFarShardsAreForwardedTogether(t *testing.T) {
 	r := farRig(t)
 	q := r.arrive("/all/x", 1500)
 	assert.Equal(t, len(r.sends), 4)
-	assert.Equal(t, len(r.relays), 1)
-	relay := r.relays[0]
-	assert.DeepEqual(t, relay.Shards, []string{"s4", "s5", "s6", "s7"})
-	assert.Equal(t, relay.Version, uint64(7))
-	assert.Assert(t, relay.Target < 250-defaultMargin)
+	assert.Equal(t, len(r.forwards), 1)
+	forward := r.forwards[0]
+	assert.DeepEqual(t, forward.Shards, []string{"s4", "s5", "s6", "s7"})
+	assert.Equal(t, forward.Version, uint64(7))
+	assert.Assert(t, forward.Target < 250-defaultMargin)
 	for _, s := range r.sends {
 		r.good(s)
 	}
-	r.handle(Done{Call: relay.Call, Kind: call.Answered, Worked: 20, Reply: &call.Reply{
+	r.handle(Done{Call: forward.Call, Kind: call.Answered, Worked: 20, Reply: &call.Reply{
 		Status: 200, Stamp: "a, b, c", Missing: []string{"s6"},
 	}})
 	m := r.answers[q].Merged
@@ -52,10 +52,10 @@
 
 // The other host refuses because it has not begun: it knows an older
 // configuration, or is leaving. Its shards are asked for from here.
-func TestRelayThatWasRefusedIsServedFromHere(t *testing.T) {
+func TestForwardThatWasRefusedIsServedFromHere(t *testing.T) {
 	r := farRig(t)
 	q := r.arrive("/all/x", 1500)
-	r.handle(Done{Call: r.relays[0].Call, Kind: call.Shed, Cause: "stale"})
+	r.handle(Done{Call: r.forwards[0].Call, Kind: call.Shed, Cause: "stale"})
 	assert.Equal(t, len(r.sends), 8)
 	for _, s := range r.sends {
 		r.good(s)
@@ -66,7 +66,7 @@
 // The other host dies long after it was asked. It may have asked two leafs for
 // a shard by then, as many as the route allows: none is asked again, and the
 // next query avoids the host.
-func TestRelayThatBrokeLateIsNotRepeated(t *testing.T) {
+func TestForwardThatBrokeLateIsNotRepeated(t *testing.T) {
 	r := farRig(t)
 	q := r.arrive("/all/x", 1500)
 	for _, s := range r.sends {
@@ -74,34 +74,34 @@
 	}
 	r.pass(120)
 	sent := len(r.sends)
-	r.handle(Done{Call: r.relays[0].Call, Kind: call.Broken, Cause: "reset"})
+	r.handle(Done{Call: r.forwards[0].Call, Kind: call.Broken, Cause: "reset"})
 	assert.Equal(t, len(r.sends), sent)
 	assert.Equal(t, r.answers[q].Refusal, Failed)
-	assert.Assert(t, r.noted(NotePeerSuspect))
+	assert.Assert(t, r.noted(NotePeerUnhealthy))
 	r.arrive("/all/x", 1500)
-	assert.Equal(t, len(r.relays), 1)
+	assert.Equal(t, len(r.forwards), 1)
 	assert.Equal(t, len(r.sends), sent+8)
 }
 
-// A host stands still with a relayed part. Its caller gets the shards that are
+// A host stands still with a forwarded part. Its caller gets the shards that are
 // in when they are enough, and further queries go round it.
 func TestHostThatStandsStillIsAvoided(t *testing.T) {
 	r := farRig(t)
 	r.arrive("/all/x", 1500)
-	r.pass(250 + relayGrace + 60)
+	r.pass(250 + forwardGrace + 60)
 	r.arrive("/all/x", 1500)
-	assert.Equal(t, len(r.relays), 1)
+	assert.Equal(t, len(r.forwards), 1)
 }
 
-// A relayed part names a configuration that this host does not know yet. It is
+// A forwarded part names a configuration that this host does not know yet. It is
 // refused as not run: answering by the older one would undo the newer.
-func TestOlderHostRefusesARelay(t *testing.T) {
+func TestOlderHostRefusesAForward(t *testing.T) {
 	r := newRig(t)
 	r.handle(Facts{Table: table(6, merged(2)), Leafs: pairs(2)})
 	ask := func(version uint64, shards ...string) Answer {
 		r.queries++
 		r.handle(Arrive{
-			Query: r.queries, Wait: 1000, Relayed: true, Version: version, Shards: shards, Target: 100,
+			Query: r.queries, Wait: 1000, Forwarded: true, Version: version, Shards: shards, Target: 100,
 			Request: &call.Request{ID: "q", Target: "/all/x", Host: "h"},
 		})
 		return r.answers[r.queries]
@@ -113,14 +113,14 @@
 	assert.Equal(t, len(r.sends), 2)
 }
 
-// A relayed part is answered with whatever is in when its time has come: any
+// A forwarded part is answered with whatever is in when its time has come: any
 // shard is of use to the host that has the caller.
-func TestRelayedPartIsAnsweredInTime(t *testing.T) {
+func TestForwardedPartIsAnsweredInTime(t *testing.T) {
 	r := newRig(t)
 	r.handle(Facts{Table: table(6, merged(4)), Leafs: pairs(4)})
 	r.queries++
 	r.handle(Arrive{
-		Query: 1, Wait: 1000, Relayed: true, Version: 6, Shards: []string{"s0", "s1", "s2"}, Target: 100,
+		Query: 1, Wait: 1000, Forwarded: true, Version: 6, Shards: []string{"s0", "s1", "s2"}, Target: 100,
 		Request: &call.Request{ID: "q", Target: "/all/x", Host: "h"},
 	})
 	r.good(r.sends[0])
@@ -144,20 +144,20 @@
 	r.arrive("/all/x", 1500)
 	assert.Equal(t, len(r.sends), 1)
 	assert.Equal(t, r.sends[0].Leaf, "a")
-	assert.Equal(t, len(r.relays), 0)
+	assert.Equal(t, len(r.forwards), 0)
 }
 
-// A relayed part finds all leafs busy. It waits for room until its time, and is
+// A forwarded part finds all leafs busy. It waits for room until its time, and is
 // then answered with what there is: a refusal would only have the host that
 // sent it ask the same leafs.
-func TestRelayedPartWaitsForRoom(t *testing.T) {
+func TestForwardedPartWaitsForRoom(t *testing.T) {
 	r := newRig(t)
 	r.handle(Facts{Table: table(6, merged(1)), Leafs: pairs(1)})
 	for _, f := range r.engine.leafs {
 		f.limit = 0
 	}
 	r.handle(Arrive{
-		Query: 1, Wait: 1000, Relayed: true, Version: 6, Shards: []string{"s0"}, Target: 150,
+		Query: 1, Wait: 1000, Forwarded: true, Version: 6, Shards: []string{"s0"}, Target: 150,
 		Request: &call.Request{ID: "q", Target: "/all/x", Host: "h"},
 	})
 	r.pass(140)
@@ -180,9 +180,9 @@
 	r.handle(Facts{Table: table(1, merged(4)), Leafs: far})
 	r.handle(Peers{List: []Peer{{Address: helperAddress, Domain: there, Started: 1}}})
 	q := r.arrive("/all/x", 1500)
-	assert.Equal(t, len(r.relays), 1)
+	assert.Equal(t, len(r.forwards), 1)
 	r.pass(200)
-	r.handle(Done{Call: r.relays[0].Call, Kind: call.Answered, Reply: &call.Reply{
+	r.handle(Done{Call: r.forwards[0].Call, Kind: call.Answered, Reply: &call.Reply{
 		Status: 200, Stamp: "a, b", Missing: []string{"s2", "s3"},
 	}})
 	assert.Equal(t, len(r.sends), 1, "three of four shards are needed: %v", r.notes)
--- a/share/router/rescue.go
+++ b/share/router/hedge.go
@@ -4,9 +4,9 @@
 	"dandelionstile/share/clock"
 )
 
-// rescue asks second leafs for the shards of a query that are not expected in
+// hedgeSlow asks second leafs for the shards of a query that are not expected in
 // time.
-func (e *Engine) rescue(now clock.Milli, q *query) {
+func (e *Engine) hedgeSlow(now clock.Milli, q *query) {
 	for _, s := range q.shards {
 		if s.stuck(now) {
 			e.hedge(now, s)
@@ -26,7 +26,7 @@
 	}
 	c := e.pick(now, s, true)
 	if now >= s.query.target || s.query.held || (c.leaf == nil && !c.full) {
-		e.lose(s, "no second call was possible")
+		e.abandon(s, "no second call was possible")
 	}
 }
 
--- a/share/router/late_test.go
+++ b/share/router/late_test.go
@@ -74,7 +74,7 @@
 	for range 80 {
 		r.queries++
 		r.handle(Arrive{
-			Query: r.queries, Wait: 1100, Relayed: true, Shards: []string{"s0"}, Target: 200, Version: 1,
+			Query: r.queries, Wait: 1100, Forwarded: true, Shards: []string{"s0"}, Target: 200, Version: 1,
 			Request: &call.Request{ID: "x", Method: "GET", Target: "/all/x", Host: "h"},
 		})
 		r.good(r.last())
--- a/share/router/leaf.go
+++ b/share/router/leaf.go
@@ -32,19 +32,19 @@
 	// fails is the recent share of calls that failed, at judged.
 	fails  float64
 	judged clock.Milli
-	// strikes counts calls in a row that ended without a reply.
-	strikes int
-	suspect bool
-	probeAt clock.Milli
-	// knockAt is when a broken call may next be followed by a knock.
-	knockAt clock.Milli
-	// relapses counts how often in a row the leaf became suspect again soon
+	// failures counts calls in a row that ended without a reply.
+	failures  int
+	unhealthy bool
+	probeAt   clock.Milli
+	// connCheckAt is when a broken call may next be followed by a connection check.
+	connCheckAt clock.Milli
+	// relapses counts how often in a row the leaf became unhealthy again soon
 	// after its health check had cleared it.
-	relapses  int
-	trustedAt clock.Milli
-	coldUntil clock.Milli
-	pace      pace
-	removed   bool
+	relapses    int
+	recoveredAt clock.Milli
+	coldUntil   clock.Milli
+	pace        pace
+	removed     bool
 	// hosts is how many hosts share the leaf.
 	hosts int
 	told  told
@@ -67,15 +67,15 @@
 	// failuresHalf is in how many ms the failures of a leaf without calls count
 	// for half.
 	failuresHalf = 1500.0
-	// suspectAfter is how many calls in a row without a sign of life make a
-	// leaf suspect; one may be a lost answer. One that breaks connections it
+	// unhealthyAfter is how many calls in a row without a sign of life make a
+	// leaf unhealthy; one may be a lost answer. One that breaks connections it
 	// has accepted lives, and its failures are weighed by failureCost: counted
-	// like silence, leafs that lose four answers of ten were all suspect at
+	// like silence, leafs that lose four answers of ten were all unhealthy at
 	// times, and queries were refused for want of a leaf.
-	suspectAfter = 2
+	unhealthyAfter = 2
 	// brokenAfter is how many broken connections in a row do.
 	brokenAfter = 6
-	// probeEvery is the pause between two probes of a suspect leaf. It
+	// probeEvery is the pause between two probes of an unhealthy leaf. It
 	// doubles, up to eight times, while the leaf's health check clears it and
 	// its calls fail again within relapseTime.
 	probeEvery  clock.Milli = 500
@@ -152,15 +152,15 @@
 }
 
 // failed records a call without a proper reply, and how many in a row make
-// the leaf suspect.
-func (f *leaf) failed(now clock.Milli, most int) (becameSuspect bool) {
+// the leaf unhealthy.
+func (f *leaf) failed(now clock.Milli, most int) (becameUnhealthy bool) {
 	f.judge(now, 1)
-	f.strikes++
-	if f.suspect || f.strikes < most {
+	f.failures++
+	if f.unhealthy || f.failures < most {
 		return false
 	}
-	f.suspect = true
-	if f.trustedAt != 0 && now-f.trustedAt < relapseTime {
+	f.unhealthy = true
+	if f.recoveredAt != 0 && now-f.recoveredAt < relapseTime {
 		f.relapses = min(f.relapses+1, mostDoubles)
 	} else {
 		f.relapses = 0
@@ -171,11 +171,11 @@
 
 func (f *leaf) probePause() clock.Milli { return probeEvery << f.relapses }
 
-// trust believes a suspect leaf's good health.
-func (f *leaf) trust(now clock.Milli) {
-	f.suspect = false
-	f.strikes = 0
-	f.trustedAt = now
+// recovered believes an unhealthy leaf's good health.
+func (f *leaf) recovered(now clock.Milli) {
+	f.unhealthy = false
+	f.failures = 0
+	f.recoveredAt = now
 }
 
 // judge feeds the outcome of a call: 1 for a failure, 0 for a reply.
@@ -191,11 +191,11 @@
 }
 
 // replied records a proper reply.
-func (f *leaf) replied(now clock.Milli) (becameTrusted bool) {
+func (f *leaf) replied(now clock.Milli) (becameHealthy bool) {
 	f.judge(now, 0)
-	f.strikes = 0
-	was := f.suspect
-	f.suspect = false
+	f.failures = 0
+	was := f.unhealthy
+	f.unhealthy = false
 	return was
 }
 
--- a/share/router/limit_test.go
+++ b/share/router/limit_test.go
@@ -70,7 +70,7 @@
 	r.engine.limiter = limited(20)
 	r.queries++
 	r.handle(Arrive{
-		Query: r.queries, Wait: 900, Relayed: true, Late: true, Shards: []string{"s0", "s1"}, Target: 200, Version: 1,
+		Query: r.queries, Wait: 900, Forwarded: true, Late: true, Shards: []string{"s0", "s1"}, Target: 200, Version: 1,
 		Request: r.request("/all/x"),
 	})
 	assert.Equal(t, len(r.sends), 2)
--- a/share/router/peer.go
+++ b/share/router/peer.go
@@ -9,13 +9,13 @@
 	"dandelionstile/share/rank"
 )
 
-// peer is another host and how relayed requests fared there.
+// peer is another host and how forwarded requests fared there.
 type peer struct {
 	Peer
 	region string
 	// way is the round trip to it in ms, smoothed; 0 is not known.
 	way float64
-	out []*relay
+	out []*forward
 	// rank orders the hosts of a failure domain, differently on each host.
 	rank uint64
 	// until is the end of a pause after a failure, and pause its length.
@@ -29,17 +29,17 @@
 	unknownFarWay  = 45.0
 	unknownNearWay = 5.0
 	wayGain        = 1.0 / 8
-	// peerPauseLeast and peerPauseMost bound the pause after a failed relay.
+	// peerPauseLeast and peerPauseMost bound the pause after forwarded shards failed.
 	peerPauseLeast = clock.Second
 	peerPauseMost  = 8 * clock.Second
-	// relayGrace is how long past its target a relayed answer may take before
+	// forwardGrace is how long past its target a forwarded answer may take before
 	// its host is avoided by further requests.
-	relayGrace clock.Milli = 60
-	// relayShards is the least number of shards that is worth a relay.
-	relayShards = 3
-	// relayLeast is the least time that must be left for a relay to be of use,
+	forwardGrace clock.Milli = 60
+	// forwardShards is the least number of shards that is worth forwarding.
+	forwardShards = 3
+	// forwardLeast is the least time that must be left for forwarding to be of use,
 	// beside the way.
-	relayLeast clock.Milli = 30
+	forwardLeast clock.Milli = 30
 )
 
 // setPeers takes over the list of other hosts.
@@ -85,7 +85,7 @@
 	}
 }
 
-// choices is among how many hosts of a failure domain a relay is placed: few,
+// choices is among how many hosts of a failure domain shards to forward are placed: few,
 // so that connections to them stay open, and more than one, so that it can go
 // round one that is busy or gone.
 const choices = 3
@@ -111,13 +111,13 @@
 	for _, domain := range sorted(near) {
 		group := near[domain]
 		p := e.helperIn(now, q, domain)
-		if p == nil || len(group) < relayShards {
+		if p == nil || len(group) < forwardShards {
 			here = append(here, group...)
 			continue
 		}
 		away = append(away, handover{p, group})
 	}
-	for len(far) >= relayShards {
+	for len(far) >= forwardShards {
 		p, group, other := e.helper(now, q, far)
 		if p == nil {
 			break
@@ -148,7 +148,7 @@
 func (e *Engine) nearest(s *shard) string {
 	found := ""
 	for _, f := range e.services[s.service].leafs {
-		if f.region != e.Self.Region || f.suspect || !e.usable(f, s) {
+		if f.region != e.Self.Region || f.unhealthy || !e.usable(f, s) {
 			continue
 		}
 		if f.Domain == e.Self.Domain {
@@ -164,23 +164,23 @@
 // leafIn tells whether a region has a trusted leaf for a shard.
 func (e *Engine) leafIn(s *shard, region string) bool {
 	for _, f := range e.services[s.service].leafs {
-		if f.region == region && !f.suspect && e.usable(f, s) {
+		if f.region == region && !f.unhealthy && e.usable(f, s) {
 			return true
 		}
 	}
 	return false
 }
 
-// helperIn is the host of a failure domain that a relay should go to.
+// helperIn is the host of a failure domain that shards are forwarded to.
 func (e *Engine) helperIn(now clock.Milli, q *query, domain string) *peer {
 	var best *peer
 	var cost float64
 	seen := 0
 	for _, p := range e.near[domain] {
-		if now < p.until || e.overdueRelay(now, p) || q.target-now < clock.Milli(e.trip(p))+relayLeast {
+		if now < p.until || e.overdueForward(now, p) || q.target-now < clock.Milli(e.trip(p))+forwardLeast {
 			continue
 		}
-		c := e.trip(p) + float64(len(p.out))*relayLoad
+		c := e.trip(p) + float64(len(p.out))*forwardLoad
 		if best == nil || c < cost {
 			best, cost = p, c
 		}
@@ -210,11 +210,11 @@
 				near++
 			}
 		}
-		if near < relayShards {
+		if near < forwardShards {
 			continue
 		}
 		// A host with less to do, nearer, and with more of the shards beside it.
-		c := e.trip(p) + float64(len(p.out))*relayLoad - float64(near)/float64(len(far))*regionGain
+		c := e.trip(p) + float64(len(p.out))*forwardLoad - float64(near)/float64(len(far))*regionGain
 		if best == nil || c < cost || (c == cost && p.rank < best.rank) {
 			best, cost = p, c
 		}
@@ -233,8 +233,8 @@
 }
 
 const (
-	// relayLoad is what a request under way at a host counts for, in ms.
-	relayLoad = 6.0
+	// forwardLoad is what a request under way at a host counts for, in ms.
+	forwardLoad = 6.0
 	// regionGain is what it counts for, in ms, that a host's region holds a
 	// leaf of every shard.
 	regionGain = 30.0
@@ -251,14 +251,14 @@
 	return unknownFarWay
 }
 
-// overdueRelay tells whether a host owes an answer that should have come: it
+// overdueForward tells whether a host owes an answer that should have come: it
 // stands still or is cut off.
-func (e *Engine) overdueRelay(now clock.Milli, p *peer) bool {
-	return len(p.out) > 0 && now > p.out[0].query.target+relayGrace
+func (e *Engine) overdueForward(now clock.Milli, p *peer) bool {
+	return len(p.out) > 0 && now > p.out[0].query.target+forwardGrace
 }
 
-// judge learns from the end of a relay.
-func (e *Engine) judge(now clock.Milli, r *relay, d Done) {
+// judge learns from the end of forwarded shards.
+func (e *Engine) judge(now clock.Milli, r *forward, d Done) {
 	p := r.peer
 	if d.Kind == call.Answered {
 		p.pause = 0
@@ -272,10 +272,10 @@
 		return
 	}
 	gaveUp := d.Kind == call.Cancelled || d.Kind == call.Withdrawn
-	if gaveUp && now < r.query.target+relayGrace {
+	if gaveUp && now < r.query.target+forwardGrace {
 		return // the caller left
 	}
 	p.pause = min(max(peerPauseLeast, 2*p.pause), peerPauseMost)
 	p.until = now + p.pause
-	e.do(Note{Kind: NotePeerSuspect, Leaf: p.Address, Cause: d.Kind.String() + ": " + d.Cause, Took: now - r.sent})
+	e.do(Note{Kind: NotePeerUnhealthy, Leaf: p.Address, Cause: d.Kind.String() + ": " + d.Cause, Took: now - r.sent})
 }
--- a/share/router/place.go
+++ b/share/router/place.go
@@ -15,11 +15,11 @@
 		e.probe(now, s)
 	case c.full:
 		e.enqueue(s)
-	case c.suspects:
+	case c.unhealthy:
 		e.probe(now, s)
-		e.lose(s, "no leaf has answered of late")
+		e.abandon(s, "no leaf has answered of late")
 	default:
-		e.lose(s, "no leaf is known")
+		e.abandon(s, "no leaf is known")
 	}
 }
 
@@ -30,7 +30,7 @@
 	if f.cold(now) {
 		f.pace.spend()
 	}
-	if f.suspect {
+	if f.unhealthy {
 		f.probeAt = now + f.probePause()
 	}
 	e.calls[a.id] = a
@@ -77,12 +77,12 @@
 	return max(slow, hedgeLeast)
 }
 
-// probe asks suspect leafs for their health while others do the work, so that
+// probe asks unhealthy leafs for their health while others do the work, so that
 // a leaf's return is seen and no caller waits for it.
 func (e *Engine) probe(now clock.Milli, s *shard) {
 	svc := e.services[s.service]
 	for _, f := range svc.leafs {
-		if !f.suspect || now < f.probeAt || f.Draining || e.out[f.Domain] {
+		if !f.unhealthy || now < f.probeAt || f.Draining || e.out[f.Domain] {
 			continue
 		}
 		f.probeAt = now + probeWait
@@ -90,18 +90,18 @@
 	}
 }
 
-// probed takes a suspect leaf's word on its health.
+// probed takes an unhealthy leaf's word on its health.
 func (e *Engine) probed(now clock.Milli, p Probed) {
 	f := e.leafs[p.Leaf]
-	if f == nil || !f.suspect {
+	if f == nil || !f.unhealthy {
 		return
 	}
 	if !p.Healthy {
 		f.probeAt = now + f.probePause()
 		return
 	}
-	f.trust(now)
-	e.do(Note{Kind: NoteLeafTrusted, Leaf: f.ID, Service: f.Service, Cause: "its health is good"})
+	f.recovered(now)
+	e.do(Note{Kind: NoteLeafHealthy, Leaf: f.ID, Service: f.Service, Cause: "its health is good"})
 	e.wake(now, e.services[f.Service])
 }
 
@@ -172,10 +172,10 @@
 }
 
 // needs tells whether a query makes no answer without its open shards.
-func (q *query) needs() bool { return !q.route.Merged() || !q.relayed && q.in < q.route.Least() }
+func (q *query) needs() bool { return !q.route.Merged() || !q.forwarded && q.in < q.route.Least() }
 
-// lose gives up on a shard.
-func (e *Engine) lose(s *shard, cause string) {
+// abandon gives up on a shard.
+func (e *Engine) abandon(s *shard, cause string) {
 	if s.settled() {
 		return
 	}
--- a/share/router/query.go
+++ b/share/router/query.go
@@ -11,13 +11,13 @@
 type query struct {
 	id      uint64
 	request *call.Request
-	// print is the request's fingerprint, and well is set once a leaf has
+	// fingerprint is the request's fingerprint, and well is set once a leaf has
 	// answered it well.
-	print   uint64
-	well    bool
-	route   *route.Route
-	version uint64
-	arrived clock.Milli
+	fingerprint uint64
+	well        bool
+	route       *route.Route
+	version     uint64
+	arrived     clock.Milli
 	// target is when an answer must leave to have its full worth; end is when
 	// the caller is told that there is none.
 	target, end clock.Milli
@@ -36,9 +36,9 @@
 	// ran is set once a leaf may have begun to work.
 	ran  bool
 	over bool
-	// relayed queries are parts of another host's query; an answer with any
+	// forwarded queries are parts of another host's query; an answer with any
 	// of the shards is of use to it.
-	relayed bool
+	forwarded bool
 	// counted queries are among those that the limiter bounds.
 	counted bool
 	// missed is set once the target has passed without an answer.
@@ -56,7 +56,7 @@
 	// answer of the host that it was handed to, which is away until then.
 	in    bool
 	reply *call.Reply
-	away  *relay
+	away  *forward
 	// tries counts calls that may have run.
 	tries   int
 	lost    bool
--- a/share/router/pick.go
+++ b/share/router/replica.go
@@ -25,12 +25,12 @@
 	leaf *leaf
 	// full is set when leafs are there but have no room now.
 	full bool
-	// suspects are there, and it is not time to try one.
-	suspects bool
+	// unhealthy are there, and it is not time to try one.
+	unhealthy bool
 }
 
 // pick chooses the leaf of a shard that should answer first, among those that
-// were not asked yet. With probes, a suspect one may be tried if there is no
+// were not asked yet. With probes, an unhealthy one may be tried if there is no
 // other and its time has come.
 func (e *Engine) pick(now clock.Milli, s *shard, probes bool) choice {
 	var c choice
@@ -39,8 +39,8 @@
 		if !e.usable(f, s) {
 			continue
 		}
-		if f.suspect && (!probes || now < f.probeAt) {
-			c.suspects = true
+		if f.unhealthy && (!probes || now < f.probeAt) {
+			c.unhealthy = true
 			continue
 		}
 		if len(f.out) >= room(f, s.query) {
@@ -56,7 +56,7 @@
 			c.leaf, best = f, cost
 		}
 	}
-	if c.leaf != nil && c.leaf.suspect && c.full {
+	if c.leaf != nil && c.leaf.unhealthy && c.full {
 		// Room at a leaf that answers is worth waiting for.
 		c.leaf = nil
 	}
@@ -114,8 +114,8 @@
 	if f.region != e.Self.Region {
 		c += e.Policy.FarRegion
 	}
-	if f.suspect {
-		c += suspectCost
+	if f.unhealthy {
+		c += unhealthyCost
 	}
 	return c
 }
@@ -123,8 +123,8 @@
 const (
 	// minWork is the least time in ms that a call is taken to hold a slot.
 	minWork = 4.0
-	// suspectCost puts suspect leafs behind all others.
-	suspectCost = 2000.0
+	// unhealthyCost puts unhealthy leafs behind all others.
+	unhealthyCost = 2000.0
 )
 
 // floor is the least time in which any leaf of the region has answered of
--- a/share/router/router_test.go
+++ b/share/router/router_test.go
@@ -14,17 +14,17 @@
 
 // rig drives an engine by hand and keeps what it asked for.
 type rig struct {
-	t       *testing.T
-	engine  Engine
-	now     clock.Milli
-	queries uint64
-	sends   []Send
-	relays  []Relay
-	cancels []Cancel
-	probes  []Probe
-	answers map[uint64]Answer
-	notes   []Note
-	told    []Strike
+	t        *testing.T
+	engine   Engine
+	now      clock.Milli
+	queries  uint64
+	sends    []Send
+	forwards []Forward
+	cancels  []Cancel
+	probes   []Probe
+	answers  map[uint64]Answer
+	notes    []Note
+	told     []Crash
 	// leafNews is what was told to the other hosts of the domain.
 	leafNews []LeafNews
 }
@@ -47,8 +47,8 @@
 		switch a := a.(type) {
 		case Send:
 			r.sends = append(r.sends, a)
-		case Relay:
-			r.relays = append(r.relays, a)
+		case Forward:
+			r.forwards = append(r.forwards, a)
 		case Cancel:
 			r.cancels = append(r.cancels, a)
 		case Probe:
@@ -57,7 +57,7 @@
 			_, twice := r.answers[a.Query]
 			assert.Assert(r.t, !twice, "query %d was answered twice", a.Query)
 			r.answers[a.Query] = a
-		case Tell:
+		case TellCrashes:
 			r.told = append(r.told, a.List...)
 		case TellOfLeafs:
 			r.leafNews = append(r.leafNews, a.List...)
--- a/share/router/single_test.go
+++ b/share/router/single_test.go
@@ -145,7 +145,7 @@
 	}
 	assert.Assert(t, len(r.probes) == 1 && r.probes[0].Leaf == first.Leaf, "%v", r.probes)
 	r.handle(Probed{Leaf: first.Leaf, Healthy: true})
-	assert.Assert(t, r.noted(NoteLeafTrusted))
+	assert.Assert(t, r.noted(NoteLeafHealthy))
 	r.pass(4000)
 	seen := map[string]bool{}
 	for range 10 {
@@ -220,12 +220,12 @@
 
 // Callers leave, or another leaf answers first, while connections to leafs far
 // away are being opened. Those leafs are sound: that a call was given up before a
-// connection could be open must not make them suspect. One that was given up
+// connection could be open must not make them unhealthy. One that was given up
 // after several ways there and back must.
 func TestCallWithdrawnEarlyBlamesNoLeaf(t *testing.T) {
 	for name, c := range map[string]struct {
-		took    clock.Milli
-		suspect bool
+		took      clock.Milli
+		unhealthy bool
 	}{"within the way there and back": {90, false}, "long after it": {250, true}} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
@@ -238,7 +238,7 @@
 			r.pass(c.took)
 			r.handle(Gone{Query: r.queries})
 			r.ends(s, call.Withdrawn)
-			assert.Equal(t, r.engine.leafs["a"].suspect, c.suspect)
+			assert.Equal(t, r.engine.leafs["a"].unhealthy, c.unhealthy)
 		})
 	}
 }
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -24,14 +24,14 @@
 	Wait clock.Milli
 	// Remote is where the caller connected from.
 	Remote string
-	// Relayed requests come from another host, which keeps the caller. They
-	// are served from here and not relayed again. Shards are then what is asked
+	// Forwarded requests come from another host, which keeps the caller. They
+	// are served from here and not forwarded again. Shards are then what is asked
 	// for, Target is how long the answer has until it must leave, and Version
 	// the configuration that the sender goes by.
-	Relayed bool
-	Shards  []string
-	Target  clock.Milli
-	Version uint64
+	Forwarded bool
+	Shards    []string
+	Target    clock.Milli
+	Version   uint64
 	// Late says that the caller's target had passed when it came to the sender.
 	Late bool
 }
@@ -46,7 +46,7 @@
 	Reply *call.Reply
 	// Cause explains a call without a reply.
 	Cause string
-	// Worked is how long the other host of a relayed request took, without
+	// Worked is how long the other host of a forwarded request took, without
 	// the way there and back.
 	Worked clock.Milli
 }
@@ -66,7 +66,7 @@
 
 // Peer is another host of the system.
 type Peer struct {
-	// Address is where it takes relayed requests.
+	// Address is where it takes forwarded requests.
 	Address string
 	Domain  string
 	Started uint64
@@ -109,8 +109,8 @@
 	Watch bool
 }
 
-// Relay hands shards of a request to another host, to be answered from there.
-type Relay struct {
+// Forward hands shards of a request to another host, to be answered from there.
+type Forward struct {
 	Call    uint64
 	Request *call.Request
 	Address string
@@ -135,9 +135,9 @@
 	Path    string
 }
 
-// Knock finds out whether anybody listens at a leaf's address; only Absent is
+// CheckConn finds out whether anybody listens at a leaf's address; only Absent is
 // told.
-type Knock struct {
+type CheckConn struct {
 	Leaf    string
 	Address string
 }
@@ -258,17 +258,17 @@
 	NoteHedged
 	NoteRetried
 	NoteHeld
-	NoteRelayed
-	NoteRelayFailed
-	NoteLeafSuspect
-	NoteLeafTrusted
+	NoteForwarded
+	NoteForwardFailed
+	NoteLeafUnhealthy
+	NoteLeafHealthy
 	NoteLeafNew
 	NoteLeafDrains
 	NoteLeafGone
 	NoteTable
 	NoteDomainOut
 	NoteDomainBack
-	NotePeerSuspect
+	NotePeerUnhealthy
 	NotePeers
 	NoteCrash
 	NoteLimitSet
@@ -278,8 +278,8 @@
 
 var noteNames = [...]string{
 	"admitted", "answered", "answered-in-part", "refused", "caller-gone", "hedged", "retried",
-	"second-call-withheld", "relayed", "relay-failed", "leaf-suspect", "leaf-trusted", "leaf-new", "leaf-drains", "leaf-gone",
-	"routes-in-force", "domain-out", "domain-back", "peer-suspect", "peers", "leaf-crashed",
+	"second-call-withheld", "forwarded", "forward-failed", "leaf-unhealthy", "leaf-healthy", "leaf-new", "leaf-drains", "leaf-gone",
+	"routes-in-force", "domain-out", "domain-back", "peer-unhealthy", "peers", "leaf-crashed",
 	"limit-set", "limit-lifted", "leaf-heard",
 }
 
@@ -290,18 +290,18 @@
 // full, or a changed belief; such notes are kept when others are dropped.
 func (k NoteKind) Failure() bool {
 	switch k {
-	case NoteAdmitted, NoteAnswered, NoteHedged, NoteRelayed, NoteLeafHeard:
+	case NoteAdmitted, NoteAnswered, NoteHedged, NoteForwarded, NoteLeafHeard:
 		return false
 	}
 	return true
 }
 
-func (Ended) action()  {}
-func (Warm) action()   {}
-func (Relay) action()  {}
-func (Send) action()   {}
-func (Cancel) action() {}
-func (Probe) action()  {}
-func (Knock) action()  {}
-func (Answer) action() {}
-func (Note) action()   {}
+func (Ended) action()     {}
+func (Warm) action()      {}
+func (Forward) action()   {}
+func (Send) action()      {}
+func (Cancel) action()    {}
+func (Probe) action()     {}
+func (CheckConn) action() {}
+func (Answer) action()    {}
+func (Note) action()      {}
--- a/share/router/world_test.go
+++ b/share/router/world_test.go
@@ -186,8 +186,8 @@
 			j.leaf.cancel(j)
 			h.end(j, Done{Call: a.Call, Kind: call.Cancelled})
 		}
-	case Relay:
-		h.relay(engine, a)
+	case Forward:
+		h.forward(engine, a)
 	case Answer:
 		if answer := h.answers[a.Query]; answer != nil {
 			delete(h.answers, a.Query)
@@ -211,8 +211,8 @@
 	h.handle(d)
 }
 
-// relay carries a part of a query to another host and its answer back.
-func (h *simHost) relay(engine *Engine, a Relay) {
+// forward carries a part of a query to another host and its answer back.
+func (h *simHost) forward(engine *Engine, a Forward) {
 	w := h.w
 	var other *simHost
 	for _, o := range w.hosts {
@@ -235,7 +235,7 @@
 		}
 		came := w.now
 		arrive := Arrive{
-			Wait: a.Left, Request: a.Request, Relayed: true, Shards: a.Shards, Target: a.Target, Version: a.Version, Remote: h.address, Late: a.Late,
+			Wait: a.Left, Request: a.Request, Forwarded: true, Shards: a.Shards, Target: a.Target, Version: a.Version, Remote: h.address, Late: a.Late,
 		}
 		other.arrive(arrive, func(ans Answer) {
 			d := Done{Call: a.Call, Kind: call.Answered, Worked: w.now - came}
--- a/share/tier/callers.go
+++ b/share/tier/callers.go
@@ -68,31 +68,31 @@
 	t.take(w, r, router.Arrive{Wait: t.wait(r), Remote: r.RemoteAddr})
 }
 
-// serveRelayed takes a request that another host has from a caller, or one for
+// serveForwarded takes a request that another host has from a caller, or one for
 // what this host knows.
-func (t *Tier) serveRelayed(w http.ResponseWriter, r *http.Request) {
+func (t *Tier) serveForwarded(w http.ResponseWriter, r *http.Request) {
 	if t.Mirror != nil && mirror.Asks(r) {
 		t.Mirror.Serve(t.Clock, t.stop, w, r)
 		return
 	}
-	target, err := strconv.ParseInt(r.Header.Get(hop.HeaderRelayTarget), 10, 64)
+	target, err := strconv.ParseInt(r.Header.Get(hop.HeaderForwardTarget), 10, 64)
 	if err != nil {
-		t.text(w, http.StatusBadRequest, "no proper "+hop.HeaderRelayTarget)
+		t.text(w, http.StatusBadRequest, "no proper "+hop.HeaderForwardTarget)
 		return
 	}
-	version, err := strconv.ParseUint(r.Header.Get(hop.HeaderRelayVersion), 10, 64)
+	version, err := strconv.ParseUint(r.Header.Get(hop.HeaderForwardVersion), 10, 64)
 	if err != nil {
-		t.text(w, http.StatusBadRequest, "no proper "+hop.HeaderRelayVersion)
+		t.text(w, http.StatusBadRequest, "no proper "+hop.HeaderForwardVersion)
 		return
 	}
-	shards := strings.Split(r.Header.Get(hop.HeaderRelayShards), ",")
-	late := r.Header.Get(hop.HeaderRelayLate) != ""
-	r.Header.Del(hop.HeaderRelayLate)
-	r.Header.Del(hop.HeaderRelayShards)
-	r.Header.Del(hop.HeaderRelayTarget)
-	r.Header.Del(hop.HeaderRelayVersion)
+	shards := strings.Split(r.Header.Get(hop.HeaderForwardShards), ",")
+	late := r.Header.Get(hop.HeaderForwardLate) != ""
+	r.Header.Del(hop.HeaderForwardLate)
+	r.Header.Del(hop.HeaderForwardShards)
+	r.Header.Del(hop.HeaderForwardTarget)
+	r.Header.Del(hop.HeaderForwardVersion)
 	t.take(w, r, router.Arrive{
-		Wait: t.wait(r), Remote: r.RemoteAddr, Relayed: true, Shards: shards, Target: clock.Milli(target), Version: version,
+		Wait: t.wait(r), Remote: r.RemoteAddr, Forwarded: true, Shards: shards, Target: clock.Milli(target), Version: version,
 		Late: late,
 	})
 }
@@ -109,7 +109,7 @@
 		t.text(w, http.StatusBadRequest, "the body cannot be read")
 		return
 	}
-	if limit := t.server.BodyLimit(); !a.Relayed && len(body) > limit {
+	if limit := t.server.BodyLimit(); !a.Forwarded && len(body) > limit {
 		t.text(w, http.StatusRequestEntityTooLarge, "the body is over "+strconv.Itoa(limit)+" bytes")
 		return
 	}
@@ -133,7 +133,7 @@
 		t.post(router.Gone{Query: a.Query})
 		return
 	}
-	if a.Relayed {
+	if a.Forwarded {
 		t.relayHeaders(w, answer, t.Clock.Now()-began)
 	}
 	t.write(w, r, answer)
@@ -142,9 +142,9 @@
 // relayHeaders tell the other host how long the work took, and of a refusal
 // that the request has not run.
 func (t *Tier) relayHeaders(w http.ResponseWriter, a router.Answer, worked clock.Milli) {
-	w.Header()[hop.HeaderRelayWorked] = []string{strconv.FormatInt(int64(worked), 10)}
+	w.Header()[hop.HeaderForwardWorked] = []string{strconv.FormatInt(int64(worked), 10)}
 	if a.Merged != nil && len(a.Merged.Missing) > 0 {
-		w.Header()[hop.HeaderRelayMissing] = []string{strings.Join(a.Merged.Missing, ",")}
+		w.Header()[hop.HeaderForwardMissing] = []string{strings.Join(a.Merged.Missing, ",")}
 	}
 	switch a.Refusal {
 	case router.NoConfig, router.NoRoute, router.NoLeaf, router.NoRoom, router.Harmful, router.Stale:
--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -25,32 +25,32 @@
 	mu   sync.Mutex
 	list member.List
 	last []router.Peer
-	// strikes are passed on with each packet of the next rounds.
-	strikes []toldStrike
+	// crashes are passed on with each packet of the next rounds.
+	crashes []toldCrash
 	// leafs waits to be told to the hosts of the own failure domain.
 	leafs map[string]router.LeafNews
 	flush *time.Timer
 }
 
-// toldStrike is a strike and how often it is still to be passed on.
-type toldStrike struct {
-	router.Strike
+// toldCrash is a crash and how often it is still to be passed on.
+type toldCrash struct {
+	router.Crash
 	at    clock.Milli
 	times int
 }
 
 const (
-	// strikeTimes is how many packets pass a strike on. Whoever hears of it
+	// crashTimes is how many packets pass a crash on. Whoever hears of it
 	// does the same, so that it reaches all hosts within a few rounds.
-	strikeTimes = 6
-	// strikesAtOnce is how many strikes one packet holds at most.
-	strikesAtOnce = 24
-	// mostWaiting bounds the strikes that wait to be passed on.
+	crashTimes = 6
+	// crashesAtOnce is how many crashes one packet holds at most.
+	crashesAtOnce = 24
+	// mostWaiting bounds the crashes that wait to be passed on.
 	mostWaiting = 256
 )
 
-// strike passes strikes on to other hosts.
-func (p *peers) strike(list []router.Strike) {
+// tellCrashes passes crashes on to other hosts.
+func (p *peers) tellCrashes(list []router.Crash) {
 	if p.conn == nil {
 		return
 	}
@@ -58,8 +58,8 @@
 	defer p.mu.Unlock()
 	now := p.tier.Clock.Now()
 	for _, s := range list {
-		if len(p.strikes) < mostWaiting {
-			p.strikes = append(p.strikes, toldStrike{s, now - s.Age, strikeTimes})
+		if len(p.crashes) < mostWaiting {
+			p.crashes = append(p.crashes, toldCrash{s, now - s.Age, crashTimes})
 		}
 	}
 }
@@ -110,23 +110,23 @@
 	p.send(packets)
 }
 
-// takeStrikes are the strikes for one packet.
-func (p *peers) takeStrikes() []member.Strike {
+// takeCrashes are the crashes for one packet.
+func (p *peers) takeCrashes() []member.Crash {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.tier.Clock.Now()
-	var list []member.Strike
-	rest := p.strikes[:0]
-	for _, s := range p.strikes {
-		if len(list) < strikesAtOnce {
-			list = append(list, member.Strike{Fingerprint: s.Fingerprint, Leaf: s.Leaf, Age: now - s.at})
+	var list []member.Crash
+	rest := p.crashes[:0]
+	for _, s := range p.crashes {
+		if len(list) < crashesAtOnce {
+			list = append(list, member.Crash{Fingerprint: s.Fingerprint, Leaf: s.Leaf, Age: now - s.at})
 			s.times--
 		}
 		if s.times > 0 {
 			rest = append(rest, s)
 		}
 	}
-	p.strikes = rest
+	p.crashes = rest
 	return list
 }
 
@@ -158,7 +158,7 @@
 	p.list.Seeds = list
 }
 
-// leave tells the others at once that this host takes no more relayed requests.
+// leave tells the others at once that this host takes no more forwarded requests.
 func (p *peers) leave() {
 	if p.conn == nil {
 		return
@@ -218,12 +218,12 @@
 	}
 	p.mu.Unlock()
 	p.send(answer)
-	if len(packet.Strikes) > 0 {
-		list := make([]router.Strike, len(packet.Strikes))
-		for i, s := range packet.Strikes {
-			list[i] = router.Strike(s)
+	if len(packet.Crashes) > 0 {
+		list := make([]router.Crash, len(packet.Crashes))
+		for i, s := range packet.Crashes {
+			list[i] = router.Crash(s)
 		}
-		p.tier.post(router.Strikes{List: list})
+		p.tier.post(router.Crashes{List: list})
 	}
 	if len(packet.Leafs) > 0 {
 		list := make([]router.LeafNews, len(packet.Leafs))
@@ -262,7 +262,7 @@
 
 func (p *peers) send(packets []member.Packet) {
 	for _, packet := range packets {
-		packet.Strikes = p.takeStrikes()
+		packet.Crashes = p.takeCrashes()
 		body, err := member.Encode(packet)
 		if err != nil {
 			p.tier.Log.Error().Err(err).Msg("gossip-not-encoded")
--- a/share/tier/tier.go
+++ b/share/tier/tier.go
@@ -52,20 +52,20 @@
 	// Peers is told of the other hosts that are there; it may be nil.
 	Peers func([]router.Peer)
 
-	engine  router.Engine
-	pool    hop.Pool
-	server  httpd.Server
-	relays  httpd.Server
-	peers   peers
-	events  chan router.Event
-	stop    chan struct{}
-	stopped chan struct{}
-	once    sync.Once
-	queries atomic.Uint64
-	ready   atomic.Bool
-	leaving atomic.Bool
-	busy    atomic.Int64
-	callers callers
+	engine   router.Engine
+	pool     hop.Pool
+	server   httpd.Server
+	forwards httpd.Server
+	peers    peers
+	events   chan router.Event
+	stop     chan struct{}
+	stopped  chan struct{}
+	once     sync.Once
+	queries  atomic.Uint64
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	busy     atomic.Int64
+	callers  callers
 }
 
 // queueLength is how many events may wait for the control loop. Senders wait
@@ -92,8 +92,8 @@
 	if t.Settings.Gossip == "" {
 		return nil
 	}
-	t.relays = httpd.Server{Address: t.Settings.Relay, Handler: t.around(t.serveRelayed)}
-	if err := t.relays.Start(); err != nil {
+	t.forwards = httpd.Server{Address: t.Settings.Relay, Handler: t.around(t.serveForwarded)}
+	if err := t.forwards.Start(); err != nil {
 		return errors.CombineErrors(err, t.server.Close())
 	}
 	t.peers.tell = t.tellPeers
@@ -195,18 +195,18 @@
 			t.pool.Send(a)
 		case router.Cancel:
 			t.pool.Cancel(a.Call)
-		case router.Relay:
-			t.pool.Relay(a)
+		case router.Forward:
+			t.pool.Forward(a)
 		case router.Warm:
 			t.pool.Warm(a.Address)
 		case router.Probe:
 			t.pool.Probe(a)
-		case router.Knock:
-			t.pool.Knock(a)
+		case router.CheckConn:
+			t.pool.CheckConn(a)
 		case router.Answer:
 			t.callers.answer(a)
-		case router.Tell:
-			t.peers.strike(a.List)
+		case router.TellCrashes:
+			t.peers.tellCrashes(a.List)
 		case router.TellOfLeafs:
 			t.peers.tellLeafs(a.List)
 		case router.Ended:
@@ -255,6 +255,6 @@
 	t.callers.abandon()
 	err := t.peers.close()
 	err = errors.CombineErrors(err, t.server.Close())
-	err = errors.CombineErrors(err, t.relays.Close())
+	err = errors.CombineErrors(err, t.forwards.Close())
 	return errors.CombineErrors(err, t.pool.Close())
 }
--- a/share/tier/tier_test.go
+++ b/share/tier/tier_test.go
@@ -252,16 +252,16 @@
 // A caller leaves while its query waits for a slow shard, and its host has handed
 // shards to another one. That host's part of the work ends as well: its caller is
 // the first host, which closes the connection between them.
-func TestRelayedWorkEndsWithTheCaller(t *testing.T) {
+func TestForwardedWorkEndsWithTheCaller(t *testing.T) {
 	r := newRig(t)
 	began, stopped := r.endless("s0")
 	r.leaf("s1", func(w http.ResponseWriter, q *http.Request) { sign(w, q, "0123456789abcdef") })
 	r.open()
-	r.tier.relays = httpd.Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(r.tier.serveRelayed)}
-	assert.NilError(t, r.tier.relays.Start())
-	c := r.dialTo(r.tier.relays.Addr())
+	r.tier.forwards = httpd.Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(r.tier.serveForwarded)}
+	assert.NilError(t, r.tier.forwards.Start())
+	c := r.dialTo(r.tier.forwards.Addr())
 	c.say("GET /all/x HTTP/1.1\nHost: h\nRequest-Id: q1\nDeadline-Ms: 8000\n" +
-		hop.HeaderRelayTarget + ": 7000\n" + hop.HeaderRelayVersion + ": 1\n" + hop.HeaderRelayShards + ": s0\n\n")
+		hop.HeaderForwardTarget + ": 7000\n" + hop.HeaderForwardVersion + ": 1\n" + hop.HeaderForwardShards + ": s0\n\n")
 	<-began
 	assert.NilError(t, c.conn.Close())
 	stoppedSoon(t, stopped)
