--- a/stile/cmds/story_test.go
+++ b/stile/cmds/story_test.go
@@ -13,9 +13,9 @@
 // requests, of another program, and of beliefs long before and about others.
 const (
 	firstLog = `
-{"level":"warn","host":"a","leaf":"i-1","cause":"refused","time":1000,"message":"leaf-suspect"}
-{"level":"warn","host":"a","leaf":"i-2","cause":"dial: refused","time":20000,"message":"leaf-suspect"}
-{"level":"warn","host":"a","leaf":"i-9","cause":"dial: refused","time":20001,"message":"leaf-suspect"}
+{"level":"warn","host":"a","leaf":"i-1","cause":"refused","time":1000,"message":"leaf-unhealthy"}
+{"level":"warn","host":"a","leaf":"i-2","cause":"dial: refused","time":20000,"message":"leaf-unhealthy"}
+{"level":"warn","host":"a","leaf":"i-9","cause":"dial: refused","time":20001,"message":"leaf-unhealthy"}
 {"level":"info","host":"a","request":"q1","time":21000,"message":"admitted"}
 {"level":"info","host":"a","request":"q2","time":21001,"message":"admitted"}
 no log line at all
