--- a/share/member/member.go
+++ b/share/member/member.go
@@ -53,8 +53,8 @@
 	// It covers several rounds, lost datagrams and the hops of a beat.
 	aliveFor = 5 * clock.Second
 	// aliveMore is added for each hundred hosts: a packet tells of a part of
-	// them only, and beats take more hops. With 4 s, one host of five was not
-	// counted at 85 hosts.
+	// them only, and beats take more hops. With less, hosts that are
+	// there go uncounted in large fleets.
 	aliveMore = 10 * clock.Second
 	// forgetAfter is when a host that is gone is dropped from memory; an older
 	// beat of it that still goes round would make it alive again.
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -212,8 +212,8 @@
 	connectionShare = 0.9
 	// mostConnections bounds a host's connections to one leaf: more would only
 	// wait in the leaf's queue instead of here, where they can still go
-	// elsewhere and those in time go first. With two, calls spill over to
-	// leafs in other regions (a tenth more bytes there on days with trouble).
+	// elsewhere and those in time go first. With fewer, calls would spill over
+	// to leafs in other regions.
 	mostConnections = 3
 	// unknownConnections is taken when the operators name no limit.
 	unknownConnections = 4
--- a/share/router/finish.go
+++ b/share/router/finish.go
@@ -204,17 +204,15 @@
 	// againConfig is when to come back to a host that has had time to learn its
 	// configuration and has not: it does not reach anybody who has one.
 	againConfig clock.Milli = 500
-	// againStart is the same for a host that has just started. It learns its
-	// configuration within 0.1 s of its start (read from the logs of days on
-	// which all hosts lose power), and callers' targets are 0.1 to 0.3 s.
+	// againStart is the same for a host that has just started and learns its
+	// configuration in a moment: well within callers' usual targets.
 	againStart clock.Milli = 120
 	// startTime is how long a host counts as just started.
 	startTime = clock.Second
 	// againLeaf is about what a leaf needs to be seen again.
 	againLeaf clock.Milli = 300
 	// againRoom is about one and a half targets: what was under way has ended by
-	// then. Half of it brings callers back into the same crowd (replayed credit
-	// of the two seconds after a crowd: 0.73 for 0.77).
+	// then, so that callers do not come back into the same crowd.
 	againRoom clock.Milli = 300
 	// againSpread is the width over which returns are spread, so that callers
 	// sent away together do not come back together.
--- a/share/router/forward.go
+++ b/share/router/forward.go
@@ -11,8 +11,7 @@
 // cross to another one, or to another region. They are handed together to a
 // host there, which asks the leafs over short ways and sends one merged answer
 // back, instead of a request and a reply for each shard over links that are
-// billed by the byte: 0.005 GB between regions for 0.013 on a calm day of 34 s
-// with seven hosts.
+// billed by the byte.
 
 // forward is a part of a query handed to another host.
 type forward struct {
--- a/share/router/leaf.go
+++ b/share/router/leaf.go
@@ -70,8 +70,8 @@
 	// unhealthyAfter is how many calls in a row without a sign of life make a
 	// leaf unhealthy; one may be a lost answer. One that breaks connections it
 	// has accepted lives, and its failures are weighed by failureCost: counted
-	// like silence, leafs that lose four answers of ten were all unhealthy at
-	// times, and queries were refused for want of a leaf.
+	// like silence, leafs that lose some of their answers would all be
+	// unhealthy at times, and queries refused for want of a leaf.
 	unhealthyAfter = 2
 	// brokenAfter is how many broken connections in a row do.
 	brokenAfter = 6
--- a/share/router/pace.go
+++ b/share/router/pace.go
@@ -9,10 +9,8 @@
 //
 // A host has at most one request saved up. With a few hosts that alone keeps any
 // second at the rate and one more for each. With many, the requests saved up by
-// all would be several times the rate (85 hosts, 10 a second: 85 in one second).
-// Hosts therefore begin at different points of their round, and a request that
-// is not used soon after it was earned is lost (the same 85 hosts: 14 at most in
-// any second, about 7 a second on average, with a request to send at all times).
+// all would be several times the rate. Hosts therefore begin at different points of
+// their round, and a request that is not used soon after it was earned is lost.
 type pace struct {
 	tokens float64
 	at     clock.Milli
--- a/share/router/place.go
+++ b/share/router/place.go
@@ -61,9 +61,9 @@
 )
 
 // slowAfter is how long a call runs before another leaf is asked: until it is
-// slow by its leaf's own measure, or has used up its share of the target. To
-// wait longer, until a second reply would just be in time, was measured to
-// serve fewer callers: the second call may be slow as well.
+// slow by its leaf's own measure, or has used up its share of the target. It does
+// not wait until a second reply would just be in time, since the second call may
+// be slow as well.
 func (e *Engine) slowAfter(now clock.Milli, s *shard, f *leaf) clock.Milli {
 	q := s.query
 	slow := clock.Milli(f.expected(now, e.usual(f)) + hedgeDeviations*f.dev + stallSlack)
--- a/share/router/replica.go
+++ b/share/router/replica.go
@@ -8,9 +8,8 @@
 const (
 	// failureCost is what a failed call costs its caller. It outweighs the way
 	// to another region from one failure in six on: a shard that is lost costs
-	// a tenth of an answer or all of it, a longer way only time. With 150,
-	// leafs that turned down six calls of ten were still preferred for being
-	// near (worth 0.70 for 0.77 on a day with many of them).
+	// a tenth of an answer or all of it, a longer way only time. With much less,
+	// leafs that turn down most calls are still preferred for being near.
 	failureCost = 400.0
 	// coldCost keeps leafs that have just started for what others have no
 	// room for: they take 1.6 times as long.
@@ -66,8 +65,7 @@
 // lateRoom is how many calls a host may have at a leaf for a late query to add
 // another: none. After the return of all hosts the callers that were cut off come
 // back within one second, together with those that ask for the first time; with
-// all treated alike, leafs' queues made both kinds late (credit of those who ask
-// in that second, replayed: 0.49, and 0.66 with this bound).
+// all treated alike, leafs' queues would make both kinds late.
 const lateRoom = 1
 
 // room is how many calls this host has at most at a leaf once a query has added
