--- a/share/router/pace.go
+++ b/share/pace/pace.go
@@ -1,23 +1,24 @@
-package router
-
-import "dandelionstile/share/clock"
-
-// pace bounds how many requests a cold leaf gets per second from this host. A
-// leaf that has just started crashes under full load, and its return then takes
-// seconds more. Each host has its own part of the rate, without a word between
+// Package pace bounds how many requests a cold leaf gets per second from this
+// host. A leaf that has just started crashes under full load, and its return then
+// takes seconds more. Each host has its own part of the rate, without a word between
 // them, so what counts is what all can send within one second.
 //
 // A host has at most one request saved up. With a few hosts that alone keeps any
 // second at the rate and one more for each. With many, the requests saved up by
 // all would be several times the rate. Hosts therefore begin at different points of
 // their round, and a request that is not used soon after it was earned is lost.
-type pace struct {
+package pace
+
+import "dandelionstile/share/clock"
+
+// Pace is one host's part of the requests that a cold leaf gets.
+type Pace struct {
 	tokens float64
 	at     clock.Milli
 	// fullAt is when the saved request was earned.
 	fullAt clock.Milli
-	// phase is where in its round this host begins, of 1.
-	phase float64
+	// Phase is where in its round this host begins, of 1.
+	Phase float64
 	begun bool
 }
 
@@ -36,8 +37,8 @@
 	crowdPart = 0.7
 )
 
-// has tells whether a request may go now, at a rate per second of all hosts.
-func (p *pace) has(now clock.Milli, rate float64, hosts int) bool {
+// Has tells whether a request may go now, at a rate per second of all hosts.
+func (p *Pace) Has(now clock.Milli, rate float64, hosts int) bool {
 	own := rate / float64(hosts)
 	if hosts > crowdHosts {
 		own *= crowdPart
@@ -47,7 +48,7 @@
 		p.at = now
 		p.tokens = coldBurst
 		if hosts > crowdHosts {
-			p.tokens = p.phase
+			p.tokens = p.Phase
 		}
 	}
 	before := p.tokens
@@ -65,5 +66,5 @@
 	return p.tokens >= 1
 }
 
-// spend takes one request.
-func (p *pace) spend() { p.tokens-- }
+// Spend takes one request.
+func (p *Pace) Spend() { p.tokens-- }
--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -32,7 +32,7 @@
 	}
 	q.route = r
 	q.fingerprint = fingerprint(a.Request)
-	if e.crashes.blocked(now, q.fingerprint) {
+	if e.crashes.Blocked(now, q.fingerprint) {
 		e.refuse(now, q, Harmful, "leafs went down under it")
 		return
 	}
@@ -77,7 +77,7 @@
 	for _, s := range here {
 		// The host that asks the leafs earns the second calls; if both did, two
 		// hosts together would make twice as many as allowed.
-		e.services[s.service].budget.earn()
+		e.services[s.service].budget.Earn()
 		e.place(now, s)
 	}
 	e.settle(now, q)
--- a/share/router/crash_test.go
+++ b/share/router/crash_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionstile/share/call"
+	"dandelionstile/share/crash"
 	"dandelionstile/share/roster"
 )
 
@@ -43,7 +44,7 @@
 // has only been told of it; other requests are served.
 func TestRequestThatBringsLeafsDownIsRefused(t *testing.T) {
 	r := crashRig(t)
-	for range crashLeafs {
+	for range crash.Leafs {
 		r.arrive("/one/bad", 4000)
 		r.down(r.last())
 	}
@@ -59,7 +60,7 @@
 	q = other.arrive("/one/bad", 4000)
 	assert.Equal(t, other.answers[q].Refusal, Harmful)
 	assert.Equal(t, len(other.sends), 0)
-	other.pass(crashMemory + 1)
+	other.pass(crash.Lasts + 1)
 	other.arrive("/one/bad", 4000)
 	assert.Equal(t, len(other.sends), 1, "it is forgotten in the end")
 }
@@ -84,7 +85,7 @@
 // answers are lost.
 func TestLeafThatWentDownIsFoundGoneByAConnCheck(t *testing.T) {
 	r := crashRig(t)
-	for range crashLeafs {
+	for range crash.Leafs {
 		r.arrive("/one/bad", 4000)
 		s := r.last()
 		r.ends(s, call.Broken)
@@ -128,7 +129,7 @@
 func TestPopularRequestIsNotBlamedForLeafsThatDie(t *testing.T) {
 	t.Run("one after the other", func(t *testing.T) {
 		r := crashRig(t)
-		for range crashLeafs + 1 {
+		for range crash.Leafs + 1 {
 			r.arrive("/one/popular", 4000)
 			r.good(r.last())
 			r.arrive("/one/popular", 4000)
@@ -143,7 +144,7 @@
 		r.good(r.last())
 		var sends []Send
 		at := map[string]bool{}
-		for len(at) <= crashLeafs {
+		for len(at) <= crash.Leafs {
 			r.arrive("/one/popular", 4000)
 			sends = append(sends, r.last())
 			at[r.last().Leaf] = true
@@ -178,8 +179,8 @@
 	r := crashRig(t)
 	r.arrive("/one/x", 4000)
 	r.good(r.last())
-	r.pass(2*provenMemory + 1)
-	for range crashLeafs {
+	r.pass(2*crash.ProvenFor + 1)
+	for range crash.Leafs {
 		r.arrive("/one/x", 4000)
 		r.down(r.last())
 	}
@@ -188,11 +189,11 @@
 }
 
 // strikesOf are another host's crashes for a request.
-func strikesOf(path string, leafs int) []Crash {
+func strikesOf(path string, leafs int) []crash.Report {
 	fingerprint := fingerprint(&call.Request{Method: "GET", Host: "h", Target: path})
-	var list []Crash
+	var list []crash.Report
 	for i := range leafs {
-		list = append(list, Crash{Fingerprint: fingerprint, Leaf: fmt.Sprintf("elsewhere-%d", i), Age: 100})
+		list = append(list, crash.Report{Fingerprint: fingerprint, Leaf: fmt.Sprintf("elsewhere-%d", i), Age: 100})
 	}
 	return list
 }
--- a/share/router/done.go
+++ b/share/router/done.go
@@ -72,7 +72,7 @@
 		e.leafDown(now, f)
 		e.callFailed(now, f, 1, d.Cause, now-a.sent)
 	default:
-		e.crashes.broke(now, f.ID, a.shard.query.fingerprint)
+		e.crashes.Broke(now, f.ID, a.shard.query.fingerprint)
 		e.checkConn(now, f)
 		e.callFailed(now, f, brokenAfter, d.Cause, now-a.sent)
 	}
@@ -82,7 +82,7 @@
 func (e *Engine) answered(now clock.Milli, q *query) {
 	if !q.well {
 		q.well = true
-		e.crashes.answered(now, q.fingerprint)
+		e.crashes.Answered(now, q.fingerprint)
 	}
 }
 
@@ -170,7 +170,7 @@
 // mayRetry tells whether another leaf can run the request in place of one that
 // failed.
 func (e *Engine) mayRetry(now clock.Milli, s *shard) bool {
-	return e.mayAsk(s, false) && now < s.query.end && e.services[s.service].budget.tokens >= 1 && e.pick(now, s, false).leaf != nil
+	return e.mayAsk(s, false) && now < s.query.end && e.services[s.service].budget.Tokens >= 1 && e.pick(now, s, false).leaf != nil
 }
 
 // mostSends bounds the calls for one shard that leafs turned down: a service
@@ -184,7 +184,7 @@
 	s.query.held = true
 	e.do(Note{
 		Kind: NoteHeld, Request: s.query.request.ID, Query: s.query.id, Service: s.service, Leaf: s.last,
-		Cause: cause, Took: now - s.query.arrived, Left: e.services[s.service].budget.tokens,
+		Cause: cause, Took: now - s.query.arrived, Left: e.services[s.service].budget.Tokens,
 	})
 }
 
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -3,8 +3,11 @@
 import (
 	"container/heap"
 
+	"dandelionstile/share/budget"
 	"dandelionstile/share/clock"
+	"dandelionstile/share/crash"
 	"dandelionstile/share/limit"
+	"dandelionstile/share/pace"
 	"dandelionstile/share/rank"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/route"
@@ -33,7 +36,7 @@
 	waits    map[string]*fullWait
 	callers  callers
 	limiter  limit.Limiter
-	crashes  crashes
+	crashes  crash.Memory
 	rounds   map[string]*roundRobin
 	queries  map[uint64]*query
 	calls    map[uint64]*attempt
@@ -51,7 +54,7 @@
 type service struct {
 	config  route.Service
 	leafs   []*leaf
-	budget  budget
+	budget  budget.Budget
 	waiting []*shard
 }
 
@@ -164,7 +167,7 @@
 // share works out this host's part of what all hosts share.
 func (e *Engine) share(now clock.Milli) {
 	for _, s := range e.services {
-		s.budget.fill(e.Policy.Ratio, e.Policy.Reserve/float64(e.hosts))
+		s.budget.Fill(e.Policy.Ratio, e.Policy.Reserve/float64(e.hosts))
 		for _, l := range s.leafs {
 			e.allot(l, s)
 		}
@@ -200,7 +203,7 @@
 		if e.table != nil {
 			s.config = e.table.Services[name]
 		}
-		s.budget.fill(e.Policy.Ratio, e.Policy.Reserve/float64(e.hosts))
+		s.budget.Fill(e.Policy.Ratio, e.Policy.Reserve/float64(e.hosts))
 		e.services[name] = s
 	}
 	return s
@@ -253,7 +256,7 @@
 		if f != nil {
 			e.remove(f)
 		}
-		f = &leaf{pace: pace{phase: rank.Fraction(e.Self.Host, l.ID)}}
+		f = &leaf{pace: pace.Pace{Phase: rank.Fraction(e.Self.Host, l.ID)}}
 		e.leafs[l.ID] = f
 		s := e.service(l.Service)
 		e.allot(f, s)
--- a/share/router/finish.go
+++ b/share/router/finish.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/crash"
 )
 
 // look is called when a query's time has come: to ask second leafs, to answer
@@ -237,7 +238,7 @@
 	case NoRoom:
 		return againRoom + spread
 	case Harmful:
-		return crashMemory
+		return crash.Lasts
 	}
 	return spread
 }
--- a/share/router/forward.go
+++ b/share/router/forward.go
@@ -79,7 +79,7 @@
 		e.failed(now, r, d)
 		for _, s := range r.shards {
 			s.tries--
-			e.services[s.service].budget.earn()
+			e.services[s.service].budget.Earn()
 			e.place(now, s)
 		}
 	default:
@@ -131,7 +131,7 @@
 // for, as a second call. Without it, a query that lacks a few parts at its
 // target would fail, and its caller would ask for all shards once more.
 func (e *Engine) askAgain(now clock.Milli, s *shard) bool {
-	if !e.mayAsk(s, false) || !e.services[s.service].budget.spend() {
+	if !e.mayAsk(s, false) || !e.services[s.service].budget.Spend() {
 		return false
 	}
 	s.query.extra++
--- a/share/router/hedge.go
+++ b/share/router/hedge.go
@@ -57,7 +57,7 @@
 		return
 	}
 	svc := e.services[s.service]
-	if !svc.budget.spend() {
+	if !svc.budget.Spend() {
 		e.withheld(now, s, "budget of second calls is empty")
 		return
 	}
@@ -70,6 +70,6 @@
 	e.send(now, s, f)
 	e.do(Note{
 		Kind: kind, Request: q.request.ID, Query: q.id, Service: s.service, Leaf: f.ID,
-		Cause: cause, Took: age, Left: svc.budget.tokens,
+		Cause: cause, Took: age, Left: svc.budget.Tokens,
 	})
 }
--- a/share/router/leaf.go
+++ b/share/router/leaf.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/pace"
 	"dandelionstile/share/roster"
 )
 
@@ -43,7 +44,7 @@
 	relapses    int
 	recoveredAt clock.Milli
 	coldUntil   clock.Milli
-	pace        pace
+	pace        pace.Pace
 	removed     bool
 	// hosts is how many hosts share the leaf.
 	hosts int
--- a/share/router/place.go
+++ b/share/router/place.go
@@ -28,7 +28,7 @@
 	e.lastCall++
 	a := &attempt{id: e.lastCall, leaf: f, shard: s, sent: now}
 	if f.cold(now) {
-		f.pace.spend()
+		f.pace.Spend()
 	}
 	if f.unhealthy {
 		f.probeAt = now + f.probePause()
--- a/share/router/router_test.go
+++ b/share/router/router_test.go
@@ -8,6 +8,7 @@
 
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
+	"dandelionstile/share/crash"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/route"
 )
@@ -24,7 +25,7 @@
 	probes   []Probe
 	answers  map[uint64]Answer
 	notes    []Note
-	told     []Crash
+	told     []crash.Report
 	// leafNews is what was told to the other hosts of the domain.
 	leafNews []LeafNews
 }
--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/crash"
 	"dandelionstile/share/member"
 	"dandelionstile/share/router"
 )
@@ -34,7 +35,7 @@
 
 // toldCrash is a crash and how often it is still to be passed on.
 type toldCrash struct {
-	router.Crash
+	crash.Report
 	at    clock.Milli
 	times int
 }
@@ -50,7 +51,7 @@
 )
 
 // tellCrashes passes crashes on to other hosts.
-func (p *peers) tellCrashes(list []router.Crash) {
+func (p *peers) tellCrashes(list []crash.Report) {
 	if p.conn == nil {
 		return
 	}
@@ -219,9 +220,9 @@
 	p.mu.Unlock()
 	p.send(answer)
 	if len(packet.Crashes) > 0 {
-		list := make([]router.Crash, len(packet.Crashes))
+		list := make([]crash.Report, len(packet.Crashes))
 		for i, s := range packet.Crashes {
-			list[i] = router.Crash(s)
+			list[i] = crash.Report(s)
 		}
 		p.tier.post(router.Crashes{List: list})
 	}
