--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -235,9 +235,15 @@
 // roster takes over the list of leafs.
 func (e *Engine) roster(now clock.Milli, list []roster.Leaf) {
 	listed := make(map[string]bool, len(list))
+	// A host that has just started learns of all leafs at once: one line counts
+	// them, so that the log does not open with a line for each.
+	first := len(e.leafs) == 0 && len(list) > 0
 	for _, l := range list {
 		listed[l.ID] = true
-		e.entry(now, l)
+		e.entry(now, l, !first)
+	}
+	if first {
+		e.do(Note{Kind: NoteLeafsKnown, Of: len(list)})
 	}
 	for id, f := range e.leafs {
 		if !listed[id] {
@@ -246,7 +252,9 @@
 	}
 }
 
-func (e *Engine) entry(now clock.Milli, l roster.Leaf) {
+// entry takes over what is listed of one leaf, and tells of a new one if that is
+// news.
+func (e *Engine) entry(now clock.Milli, l roster.Leaf, news bool) {
 	f := e.leafs[l.ID]
 	if f != nil && f.Leaf == l {
 		return
@@ -261,7 +269,9 @@
 		s := e.service(l.Service)
 		e.allot(f, s)
 		s.leafs = append(s.leafs, f)
-		e.do(Note{Kind: NoteLeafNew, Leaf: l.ID, Service: l.Service, Cause: l.Domain})
+		if news {
+			e.do(Note{Kind: NoteLeafNew, Leaf: l.ID, Service: l.Service, Cause: l.Domain})
+		}
 	}
 	if l.Draining && !f.Draining {
 		e.do(Note{Kind: NoteLeafDrains, Leaf: l.ID, Service: l.Service})
--- a/share/router/single_test.go
+++ b/share/router/single_test.go
@@ -242,3 +242,24 @@
 		})
 	}
 }
+
+// A host starts in a large deployment. Its log opens with one line that counts
+// the leafs; one that comes later has a line of its own.
+func TestFirstListOfLeafsIsOneLine(t *testing.T) {
+	r := newRig(t)
+	count := func(kind NoteKind) int {
+		n := 0
+		for _, one := range r.notes {
+			if one.Kind == kind {
+				n++
+			}
+		}
+		return n
+	}
+	r.handle(Facts{Table: table(1, merged(8)), Leafs: pairs(8)})
+	assert.Equal(t, count(NoteLeafsKnown), 1)
+	assert.Equal(t, count(NoteLeafNew), 0)
+	r.handle(Facts{Leafs: pairs(9)})
+	assert.Equal(t, count(NoteLeafsKnown), 1)
+	assert.Equal(t, count(NoteLeafNew), 2)
+}
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -274,13 +274,14 @@
 	NoteLimitSet
 	NoteLimitLifted
 	NoteLeafHeard
+	NoteLeafsKnown
 )
 
 var noteNames = [...]string{
 	"admitted", "answered", "answered-in-part", "refused", "caller-gone", "hedged", "retried",
 	"second-call-withheld", "forwarded", "forward-failed", "leaf-unhealthy", "leaf-healthy", "leaf-new", "leaf-drains", "leaf-gone",
 	"routes-in-force", "domain-out", "domain-back", "peer-unhealthy", "peers", "leaf-crashed",
-	"limit-set", "limit-lifted", "leaf-heard",
+	"limit-set", "limit-lifted", "leaf-heard", "leafs-known",
 }
 
 // String names the kind as logs and metrics do.
