router: calls at a leaf follow its slots

Cause: six hosts with three connections each to a leaf with one slot put eighteen calls one after the other; all but the first few are late, and the leaf works on them all.

Change: a host has at most half as many calls waiting at a leaf as the leaf has slots; leafs with two slots or more are as before.

--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -178,6 +178,9 @@
 // allot gives a leaf this host's part of what all hosts share.
 func (e *Engine) allot(f *leaf, s *service) {
 	f.limit = e.connections(s.config)
+	if f.Slots > 0 {
+		f.limit = min(f.limit, f.Slots+f.Slots/waitingShare)
+	}
 	f.hosts = e.hosts
 }
 
@@ -218,6 +221,10 @@
 	// elsewhere and those in time go first. With fewer, calls would spill over
 	// to leafs in other regions.
 	mostConnections = 3
+	// waitingShare is for how many slots of a leaf one more call may wait there:
+	// at a leaf with one slot none, since all hosts' calls wait one after the
+	// other and the last of them for most of its query's time.
+	waitingShare = 2
 	// unknownConnections is taken when the operators name no limit.
 	unknownConnections = 4
 )
