--- a/share/router/place.go
+++ b/share/router/place.go
@@ -51,10 +51,6 @@
 	hedgeDeviations = 3.0
 	// hedgeLeast keeps calls that take a few ms from being hedged by jitter.
 	hedgeLeast clock.Milli = 15
-	// hedgeFar is the share of the target before which no leaf in another
-	// region is asked as the second: its reply crosses links that are billed,
-	// and most calls that are slow by then end by themselves.
-	hedgeFar = 0.4
 	// hedgeMost is the share of the target after which a call is slow whatever
 	// its leaf's own measure says.
 	hedgeMost = 0.45
@@ -68,11 +64,7 @@
 	q := s.query
 	slow := clock.Milli(f.expected(now, e.usual(f)) + hedgeDeviations*f.dev + stallSlack)
 	if q.route.Target > 0 {
-		all := float64(q.target - q.arrived)
-		if other := e.pick(now, s, false).leaf; other != nil && other.region != e.Self.Region {
-			slow = max(slow, clock.Milli(hedgeFar*all))
-		}
-		slow = min(slow, clock.Milli(hedgeMost*all))
+		slow = min(slow, clock.Milli(hedgeMost*float64(q.target-q.arrived)))
 	}
 	return max(slow, hedgeLeast)
 }
