--- a/share/limit/limit.go
+++ b/share/limit/limit.go
@@ -41,8 +41,9 @@
 	// beyond the usual number are turned away. Single slow leafs make as many
 	// late, but bring no more queries than usual.
 	lateSome = 0.25
-	// crowd is how many times as many queries as usual make a crowd.
-	crowd = 1.25
+	// crowd is how many times as many queries as usual make a crowd. It is more
+	// than what hosts get in addition when some others of them are cut off.
+	crowd = 1.8
 	// pauseGain smooths the time between queries over enough of them to tell a
 	// crowd from chance, and usualPauseGain over several crowds.
 	pauseGain      = 1.0 / 10
