--- a/share/limit/limit_test.go
+++ b/share/limit/limit_test.go
@@ -121,3 +121,21 @@
 	l.Open = 2
 	assert.Assert(t, l.Admits(true))
 }
+
+// Two of six hosts are cut off, so that the others get half as many callers
+// again, while some leafs are slow and four answers in ten are late. The leafs get
+// no more than usual, and nobody is turned away.
+func TestCallersOfOtherHostsAreNoCrowd(t *testing.T) {
+	l, now := usually(6)
+	l.Open = 10
+	for i := range 200 {
+		now += 33
+		l.Came(now)
+		if i%5 < 2 {
+			l.Missed(now)
+			continue
+		}
+		l.Met()
+	}
+	assert.Assert(t, !l.Active(), "limit %.1f", l.limit)
+}
