router, member: admission in a function of its own, one type for crash reports

admit holds what arrive checked twice; member passes crash.Report on instead of a copy of it, which the tier converted one by one; three tests of the limiter share their loop. No behaviour changes.

--- a/share/limit/limit_test.go
+++ b/share/limit/limit_test.go
@@ -64,16 +64,7 @@
 func TestCrowdIsCutBackToTheUsual(t *testing.T) {
 	l, now := usually(6)
 	assert.Assert(t, !l.Crowd())
-	l.Open = 14
-	for i := range 60 {
-		now += 20
-		l.Came(now)
-		if i%5 < 2 {
-			l.Missed(now)
-			continue
-		}
-		l.Met()
-	}
+	twoOfFiveLate(l, now, 14, 60, 20)
 	assert.Assert(t, l.Crowd())
 	assert.Assert(t, l.Active())
 	assert.Assert(t, l.limit >= 6*usualSlack && l.limit < 14, "limit %.1f", l.limit)
@@ -84,9 +75,16 @@
 // the others.
 func TestSlowLeafsAreNoCrowd(t *testing.T) {
 	l, now := usually(6)
-	l.Open = 14
-	for i := range 200 {
-		now += 50
+	twoOfFiveLate(l, now, 14, 200, 50)
+	assert.Assert(t, !l.Active(), "limit %.1f", l.limit)
+}
+
+// twoOfFiveLate has so many queries come with a pause in ms between two, with as
+// many under way as given; two of five are late.
+func twoOfFiveLate(l *Limiter, now clock.Milli, under, queries int, pause clock.Milli) {
+	l.Open = under
+	for i := range queries {
+		now += pause
 		l.Came(now)
 		if i%5 < 2 {
 			l.Missed(now)
@@ -94,7 +92,6 @@
 		}
 		l.Met()
 	}
-	assert.Assert(t, !l.Active(), "limit %.1f", l.limit)
 }
 
 // usually is a limiter after a minute with so many queries under way, twenty a
@@ -127,15 +124,6 @@
 // no more than usual, and nobody is turned away.
 func TestCallersOfOtherHostsAreNoCrowd(t *testing.T) {
 	l, now := usually(6)
-	l.Open = 10
-	for i := range 200 {
-		now += 33
-		l.Came(now)
-		if i%5 < 2 {
-			l.Missed(now)
-			continue
-		}
-		l.Met()
-	}
+	twoOfFiveLate(l, now, 10, 200, 33)
 	assert.Assert(t, !l.Active(), "limit %.1f", l.limit)
 }
--- a/share/member/codec.go
+++ b/share/member/codec.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/crash"
 	"dandelionstile/share/wire"
 )
 
@@ -50,7 +51,7 @@
 	}
 	p := Packet{Hosts: hosts, Ask: g.GetAsk()}
 	for _, s := range g.GetStrikes() {
-		p.Crashes = append(p.Crashes, Crash{Fingerprint: s.GetFingerprint(), Leaf: s.GetLeaf(), Age: clock.Milli(s.GetAgeMs())})
+		p.Crashes = append(p.Crashes, crash.Report{Fingerprint: s.GetFingerprint(), Leaf: s.GetLeaf(), Age: clock.Milli(s.GetAgeMs())})
 	}
 	for _, f := range g.GetLeafs() {
 		p.Leafs = append(p.Leafs, Leaf{
--- a/share/member/member.go
+++ b/share/member/member.go
@@ -11,6 +11,7 @@
 	"sort"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/crash"
 	"dandelionstile/share/rank"
 )
 
@@ -76,19 +77,12 @@
 	// Hosts begins with the sender.
 	Hosts []Host
 	// Crashes and Leafs pass through: they are the caller's.
-	Crashes []Crash
+	Crashes []crash.Report
 	Leafs   []Leaf
 	// Ask asks the receiver to answer with what it knows.
 	Ask bool
 }
 
-// Crash says that a request was at a leaf when it went down.
-type Crash struct {
-	Fingerprint uint64
-	Leaf        string
-	Age         clock.Milli
-}
-
 // Leaf tells how calls to a leaf fare at the sender.
 type Leaf struct {
 	ID string
--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -50,16 +50,8 @@
 		e.refuse(now, q, NoLeaf, cause)
 		return
 	}
-	if r.Merged() && !q.forwarded {
-		e.limiter.Came(now)
-	}
-	if r.Merged() && !q.forwarded && (!q.late || e.limiter.Active()) {
-		if !e.limiter.Admits(q.late) {
-			e.refuse(now, q, NoRoom, fmt.Sprintf("answers come too late: %d queries are under way, the limit is %.0f", e.limiter.Open, e.limiter.Limit()))
-			return
-		}
-		q.counted = true
-		e.limiter.Open++
+	if !e.admit(now, q) {
+		return
 	}
 	e.queries[q.id] = q
 	e.do(Note{
@@ -86,6 +78,26 @@
 	}
 }
 
+// admit counts a query among those under way, or refuses it. Late queries are
+// counted only while some are turned away: they say nothing of who is in time.
+func (e *Engine) admit(now clock.Milli, q *query) bool {
+	if !q.route.Merged() || q.forwarded {
+		return true
+	}
+	l := &e.limiter
+	l.Came(now)
+	if q.late && !l.Active() {
+		return true
+	}
+	if !l.Admits(q.late) {
+		e.refuse(now, q, NoRoom, fmt.Sprintf("answers come too late: %d queries are under way, the limit is %.0f", l.Open, l.Limit()))
+		return false
+	}
+	q.counted = true
+	l.Open++
+	return true
+}
+
 // asked returns the services that a request is for; false if another host asks
 // for shards that the route does not have here.
 func (e *Engine) asked(r *route.Route, a Arrive) ([]string, bool) {
--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -112,15 +112,15 @@
 }
 
 // takeCrashes are the crashes for one packet.
-func (p *peers) takeCrashes() []member.Crash {
+func (p *peers) takeCrashes() []crash.Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.tier.Clock.Now()
-	var list []member.Crash
+	var list []crash.Report
 	rest := p.crashes[:0]
 	for _, s := range p.crashes {
 		if len(list) < crashesAtOnce {
-			list = append(list, member.Crash{Fingerprint: s.Fingerprint, Leaf: s.Leaf, Age: now - s.at})
+			list = append(list, crash.Report{Fingerprint: s.Fingerprint, Leaf: s.Leaf, Age: now - s.at})
 			s.times--
 		}
 		if s.times > 0 {
@@ -220,11 +220,7 @@
 	p.mu.Unlock()
 	p.send(answer)
 	if len(packet.Crashes) > 0 {
-		list := make([]crash.Report, len(packet.Crashes))
-		for i, s := range packet.Crashes {
-			list[i] = crash.Report(s)
-		}
-		p.tier.post(router.Crashes{List: list})
+		p.tier.post(router.Crashes{List: packet.Crashes})
 	}
 	if len(packet.Leafs) > 0 {
 		list := make([]router.LeafNews, len(packet.Leafs))
