tier: news of leafs leaves crash reports to the rounds

Cause: each packet took waiting crash reports along, since news of leafs they too, which go to the own failure domain only; six of them used up a report's six tellings, and hosts of other domains might not hear of it.

--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -167,7 +167,7 @@
 	p.mu.Lock()
 	packets := p.list.Farewell(p.tier.Clock.Now())
 	p.mu.Unlock()
-	p.send(packets)
+	p.gossip(packets)
 }
 
 func (p *peers) close() error {
@@ -218,7 +218,7 @@
 		answer = []member.Packet{p.list.Answer(now, packet.Hosts[0].Gossip)}
 	}
 	p.mu.Unlock()
-	p.send(answer)
+	p.gossip(answer)
 	if len(packet.Crashes) > 0 {
 		p.tier.post(router.Crashes{List: packet.Crashes})
 	}
@@ -254,12 +254,19 @@
 	p.mu.Lock()
 	packets := p.list.Round(p.tier.Clock.Now())
 	p.mu.Unlock()
+	p.gossip(packets)
+}
+
+// gossip sends packets that take waiting crash reports along.
+func (p *peers) gossip(packets []member.Packet) {
+	for i := range packets {
+		packets[i].Crashes = p.takeCrashes()
+	}
 	p.send(packets)
 }
 
 func (p *peers) send(packets []member.Packet) {
 	for _, packet := range packets {
-		packet.Crashes = p.takeCrashes()
 		body, err := member.Encode(packet)
 		if err != nil {
 			p.tier.Log.Error().Err(err).Msg("gossip-not-encoded")
