news, router: one type for news of leafs; a waiting shard's leaf is chosen once

News of leafs had a type in router and one in member, converted one by one in the tier; the decision of what is worth telling stands in a package of its own now. wake drops ended shards once and places by the choice that nextWaiting has made; a new leaf's share is worked out by share alone, which follows every list, and not before its slots are known.

--- a/share/member/codec.go
+++ b/share/member/codec.go
@@ -9,6 +9,7 @@
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/crash"
+	"dandelionstile/share/news"
 	"dandelionstile/share/wire"
 )
 
@@ -54,7 +55,7 @@
 		p.Crashes = append(p.Crashes, crash.Report{Fingerprint: s.GetFingerprint(), Leaf: s.GetLeaf(), Age: clock.Milli(s.GetAgeMs())})
 	}
 	for _, f := range g.GetLeafs() {
-		p.Leafs = append(p.Leafs, Leaf{
+		p.Leafs = append(p.Leafs, news.Leaf{
 			ID: f.GetLeaf(), Late: clock.Milli(f.GetLateMs()), Failing: min(1, float64(f.GetFailing())/thousand),
 		})
 	}
--- a/share/member/member.go
+++ b/share/member/member.go
@@ -12,6 +12,7 @@
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/crash"
+	"dandelionstile/share/news"
 	"dandelionstile/share/rank"
 )
 
@@ -78,20 +79,11 @@
 	Hosts []Host
 	// Crashes and Leafs pass through: they are the caller's.
 	Crashes []crash.Report
-	Leafs   []Leaf
+	Leafs   []news.Leaf
 	// Ask asks the receiver to answer with what it knows.
 	Ask bool
 }
 
-// Leaf tells how calls to a leaf fare at the sender.
-type Leaf struct {
-	ID string
-	// Late is by how much replies take longer than usual, in ms.
-	Late clock.Milli
-	// Failing is the share of calls that fail.
-	Failing float64
-}
-
 // List is one host's belief about all hosts. Self and Seeds are set before
 // first use; Seeds may be replaced at any time.
 type List struct {
--- a/share/member/member_test.go
+++ b/share/member/member_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/news"
 )
 
 // town is a number of hosts that gossip under a virtual clock.
@@ -175,7 +176,7 @@
 
 // News of leafs arrives as it was sent, and nonsense within bounds.
 func TestLeafNewsTravels(t *testing.T) {
-	sent := []Leaf{{ID: "i-1", Late: 170, Failing: 0.25}, {ID: "i-2"}, {ID: "i-3", Late: -5, Failing: 3}}
+	sent := []news.Leaf{{ID: "i-1", Late: 170, Failing: 0.25}, {ID: "i-2"}, {ID: "i-3", Late: -5, Failing: 3}}
 	body, err := Encode(Packet{Hosts: []Host{{Gossip: "10.0.0.1:1"}}, Leafs: sent})
 	assert.NilError(t, err)
 	p, err := Decode(body)
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -274,7 +274,6 @@
 		f = &leaf{pace: pace.Pace{Phase: rank.Fraction(e.Self.Host, l.ID)}}
 		e.leafs[l.ID] = f
 		s := e.service(l.Service)
-		e.allot(f, s)
 		s.leafs = append(s.leafs, f)
 		if news {
 			e.do(Note{Kind: NoteLeafNew, Leaf: l.ID, Service: l.Service, Cause: l.Domain})
--- a/share/router/leaf.go
+++ b/share/router/leaf.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/news"
 	"dandelionstile/share/pace"
 	"dandelionstile/share/roster"
 )
@@ -48,7 +49,7 @@
 	removed     bool
 	// hosts is how many hosts share the leaf.
 	hosts int
-	told  told
+	told  news.Told
 	// calledAt is when a call from here ended last.
 	calledAt clock.Milli
 }
--- a/share/router/news.go
+++ b/share/router/news.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"math"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/news"
 )
 
 // Hosts of one failure domain tell each other of leafs whose calls fare worse than
@@ -14,32 +14,16 @@
 // others ask another leaf at once. Only hosts of one failure domain tell each
 // other: they have the same way to the leaf, and are cut off from it together.
 
-// LeafNews says how calls to a leaf fare at another host.
-type LeafNews struct {
-	Leaf string
-	// Late is by how much replies take longer than usual.
-	Late clock.Milli
-	// Failing is the share of calls that fail.
-	Failing float64
-}
-
 // HeardOfLeafs is what another host has told.
-type HeardOfLeafs struct{ List []LeafNews }
+type HeardOfLeafs struct{ List []news.Leaf }
 
 // TellOfLeafs passes news on to the hosts of the own failure domain.
-type TellOfLeafs struct{ List []LeafNews }
+type TellOfLeafs struct{ List []news.Leaf }
 
 func (HeardOfLeafs) event() {}
 func (TellOfLeafs) action() {}
 
 const (
-	// newsLeast is the least change of a leaf's expected cost, in ms, that is
-	// told: less does not change which leaf is chosen.
-	newsLeast = 20.0
-	// newsShare is the change that is told as a share of what was told last.
-	newsShare = 0.5
-	// newsPause is the least time between two tellings of one leaf.
-	newsPause clock.Milli = 150
 	// ownFresh is how long this host's own calls tell more of a leaf than
 	// another host's.
 	ownFresh clock.Milli = 100
@@ -50,20 +34,8 @@
 	mistrust clock.Milli = 500
 )
 
-// told is what this host has said or heard of a leaf last.
-type told struct {
-	// badness is the leaf's expected cost beyond the usual, in ms.
-	badness float64
-	at      clock.Milli
-}
-
-func badness(n LeafNews) float64 { return float64(n.Late) + n.Failing*failureCost }
-
-// worth tells whether a leaf's changed cost is news.
-func (t *told) worth(now clock.Milli, cost float64) bool {
-	change := math.Abs(cost - t.badness)
-	return change >= max(newsLeast, newsShare*t.badness) && now >= t.at+newsPause
-}
+// extraCost is a leaf's expected cost beyond the usual, in ms.
+func extraCost(n news.Leaf) float64 { return float64(n.Late) + n.Failing*failureCost }
 
 // tell passes on what a call has shown of a leaf, if it is news.
 func (e *Engine) tell(now clock.Milli, f *leaf) {
@@ -72,23 +44,24 @@
 	}
 	usual := e.usual(f)
 	late := max(0, f.expected(now, usual)-usual)
-	n := LeafNews{Leaf: f.ID, Late: clock.Milli(late), Failing: f.failing(now)}
-	if !f.told.worth(now, badness(n)) {
+	n := news.Leaf{ID: f.ID, Late: clock.Milli(late), Failing: f.failing(now)}
+	cost := extraCost(n)
+	if !f.told.Worth(now, cost) {
 		return
 	}
-	f.told = told{badness(n), now}
-	e.do(TellOfLeafs{List: []LeafNews{n}})
+	f.told.Set(now, cost)
+	e.do(TellOfLeafs{List: []news.Leaf{n}})
 }
 
 // heardOfLeafs takes over what another host has told, where this host knows
 // nothing newer itself.
-func (e *Engine) heardOfLeafs(now clock.Milli, list []LeafNews) {
+func (e *Engine) heardOfLeafs(now clock.Milli, list []news.Leaf) {
 	for _, n := range list {
-		f := e.leafs[n.Leaf]
+		f := e.leafs[n.ID]
 		if f == nil {
 			continue
 		}
-		f.told = told{badness(n), now}
+		f.told.Set(now, extraCost(n))
 		if f.calledAt != 0 && now < f.calledAt+ownFresh {
 			continue
 		}
--- a/share/router/news_test.go
+++ b/share/router/news_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/news"
 )
 
 // neighbor is another host of the own failure domain.
@@ -25,12 +26,12 @@
 // the leaf is well.
 func TestSlowLeafIsAvoidedOnAnotherHostsWord(t *testing.T) {
 	r := newsRig(t)
-	r.handle(HeardOfLeafs{List: []LeafNews{{Leaf: "s0-near", Late: 300}}})
+	r.handle(HeardOfLeafs{List: []news.Leaf{{ID: "s0-near", Late: 300}}})
 	assert.Assert(t, r.noted(NoteLeafHeard))
 	r.arrive("/all/x", 1500)
 	assert.Equal(t, r.last().Leaf, "s0-far")
 	r.good(r.last())
-	r.handle(HeardOfLeafs{List: []LeafNews{{Leaf: "s0-near"}}})
+	r.handle(HeardOfLeafs{List: []news.Leaf{{ID: "s0-near"}}})
 	r.arrive("/all/x", 1500)
 	assert.Equal(t, r.last().Leaf, "s0-near")
 }
@@ -38,7 +39,7 @@
 // Another host's calls to a leaf fail; the same as for slow ones holds.
 func TestFailingLeafIsAvoidedOnAnotherHostsWord(t *testing.T) {
 	r := newsRig(t)
-	r.handle(HeardOfLeafs{List: []LeafNews{{Leaf: "s0-near", Failing: 0.6}}})
+	r.handle(HeardOfLeafs{List: []news.Leaf{{ID: "s0-near", Failing: 0.6}}})
 	r.arrive("/all/x", 1500)
 	assert.Equal(t, r.last().Leaf, "s0-far")
 }
@@ -50,13 +51,13 @@
 	r.arrive("/all/x", 1500)
 	r.pass(10)
 	r.good(r.last())
-	r.handle(HeardOfLeafs{List: []LeafNews{{Leaf: "s0-near", Late: 300}}})
+	r.handle(HeardOfLeafs{List: []news.Leaf{{ID: "s0-near", Late: 300}}})
 	r.arrive("/all/x", 1500)
 	assert.Equal(t, r.last().Leaf, "s0-near")
 }
 
 // call has a query answered after a time and returns what was told of its leaf.
-func (r *rig) call(took clock.Milli) []LeafNews {
+func (r *rig) call(took clock.Milli) []news.Leaf {
 	before := len(r.leafNews)
 	r.arrive("/all/x", 1500)
 	s := r.last()
@@ -72,21 +73,21 @@
 	for range 20 {
 		assert.Equal(t, len(r.call(10)), 0, "a leaf as usual is no news")
 	}
-	news := r.call(150)
-	assert.Equal(t, len(news), 1)
-	assert.Equal(t, news[0].Leaf, "s0-near")
-	assert.Assert(t, news[0].Late >= 15, "%d", news[0].Late)
-	told := 0
+	told := r.call(150)
+	assert.Equal(t, len(told), 1)
+	assert.Equal(t, told[0].ID, "s0-near")
+	assert.Assert(t, told[0].Late >= 15, "%d", told[0].Late)
+	again := 0
 	for range 20 {
-		told += len(r.call(150))
+		again += len(r.call(150))
 	}
-	assert.Assert(t, told <= 2, "told %d times more", told)
+	assert.Assert(t, again <= 2, "told %d times more", again)
 	r.pass(5000)
-	told = 0
+	again = 0
 	for range 40 {
-		told += len(r.call(10))
+		again += len(r.call(10))
 	}
-	assert.Assert(t, told >= 1 && r.leafNews[len(r.leafNews)-1].Late < 15, "%v", r.leafNews)
+	assert.Assert(t, again >= 1 && r.leafNews[len(r.leafNews)-1].Late < 15, "%v", r.leafNews)
 }
 
 // A host is frozen for two seconds while it waits for a leaf. The reply seems to
--- a/share/router/place.go
+++ b/share/router/place.go
@@ -8,7 +8,11 @@
 
 // place asks the best leaf for a shard, or lets the shard wait for room.
 func (e *Engine) place(now clock.Milli, s *shard) {
-	c := e.pick(now, s, true)
+	e.placeAt(now, s, e.pick(now, s, true))
+}
+
+// placeAt does so with the choice made.
+func (e *Engine) placeAt(now clock.Milli, s *shard, c choice) {
 	switch {
 	case c.leaf != nil:
 		e.send(now, s, c.leaf)
@@ -123,18 +127,18 @@
 
 // wake places shards that wait for room.
 func (e *Engine) wake(now clock.Milli, svc *service) {
+	svc.waiting = slices.DeleteFunc(svc.waiting, func(s *shard) bool {
+		return s.query.over || s.settled() || !s.waiting
+	})
 	for {
-		svc.waiting = slices.DeleteFunc(svc.waiting, func(s *shard) bool {
-			return s.query.over || s.settled() || !s.waiting
-		})
-		at, ok := e.nextWaiting(now, svc)
-		if !ok {
+		at, c := e.nextWaiting(now, svc)
+		if at < 0 {
 			return
 		}
 		s := svc.waiting[at]
 		svc.waiting = slices.Delete(svc.waiting, at, at+1)
 		s.waiting = false
-		e.place(now, s)
+		e.placeAt(now, s, c)
 		e.settle(now, s.query)
 		if !s.query.over {
 			e.plan(now, s.query)
@@ -142,25 +146,25 @@
 	}
 }
 
-// nextWaiting is the waiting shard that gets the room that has become free: the
-// first that can still be in time. Behind a queue that is longer than the time
-// that queries have, the first in line would otherwise always be one that is too
-// late, and so would every other.
-func (e *Engine) nextWaiting(now clock.Milli, svc *service) (at int, ok bool) {
-	late := -1
+// nextWaiting is the waiting shard that gets the room that has become free, and
+// the leaf for it: the first that can still be in time; -1 for none. Behind a
+// queue that is longer than the time that queries have, the first in line would
+// otherwise always be one that is too late, and so would every other.
+func (e *Engine) nextWaiting(now clock.Milli, svc *service) (at int, c choice) {
+	late, lateChoice := -1, choice{}
 	for i, s := range svc.waiting {
 		c := e.pick(now, s, true)
 		if c.leaf == nil && c.full {
 			break
 		}
 		if c.leaf == nil || s.query.late || now+clock.Milli(c.leaf.expected(now, e.usual(c.leaf))) <= s.query.target {
-			return i, true
+			return i, c
 		}
 		if late < 0 && s.query.needs() {
-			late = i
+			late, lateChoice = i, c
 		}
 	}
-	return late, late >= 0
+	return late, lateChoice
 }
 
 // needs tells whether a query makes no answer without its open shards.
--- a/share/router/world_test.go
+++ b/share/router/world_test.go
@@ -11,6 +11,7 @@
 
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
+	"dandelionstile/share/news"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/route"
 )
@@ -204,7 +205,7 @@
 const simNews clock.Milli = 16
 
 // tell carries news of leafs to the other hosts of the failure domain.
-func (h *simHost) tell(list []LeafNews) {
+func (h *simHost) tell(list []news.Leaf) {
 	for _, o := range h.w.hosts {
 		if !h.w.silent && o != h && o.place.Domain == h.place.Domain {
 			h.w.at(h.w.now+simNews, func() { o.handle(HeardOfLeafs{List: list}) })
--- a/share/tier/news_test.go
+++ b/share/tier/news_test.go
@@ -10,7 +10,7 @@
 	"dandelionstile/share/clock"
 	"dandelionstile/share/crash"
 	"dandelionstile/share/member"
-	"dandelionstile/share/router"
+	"dandelionstile/share/news"
 )
 
 // A request has brought down a leaf, and in the same moments many leafs turn slow.
@@ -26,7 +26,7 @@
 	p.list.Hear(p.tier.Clock.Now(), []member.Host{{Gossip: "127.81.0.5:9", Domain: "d", Beat: 1}})
 	p.tellCrashes([]crash.Report{{Fingerprint: 1, Leaf: "i-1"}})
 	for range 2 * crashTimes {
-		p.leafs = map[string]router.LeafNews{"i-2": {Leaf: "i-2", Late: 100}}
+		p.leafs = map[string]news.Leaf{"i-2": {ID: "i-2", Late: 100}}
 		p.sendLeafs()
 	}
 	assert.Equal(t, len(p.crashes), 1)
--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -1,6 +1,7 @@
 package tier
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"dandelionstile/share/clock"
 	"dandelionstile/share/crash"
 	"dandelionstile/share/member"
+	"dandelionstile/share/news"
 	"dandelionstile/share/router"
 )
 
@@ -29,7 +31,7 @@
 	// crashes are passed on with each packet of the next rounds.
 	crashes []toldCrash
 	// leafs waits to be told to the hosts of the own failure domain.
-	leafs map[string]router.LeafNews
+	leafs map[string]news.Leaf
 	flush *time.Timer
 }
 
@@ -76,18 +78,18 @@
 )
 
 // tellLeafs passes news of leafs on to the hosts of the own failure domain.
-func (p *peers) tellLeafs(list []router.LeafNews) {
+func (p *peers) tellLeafs(list []news.Leaf) {
 	if p.conn == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.leafs == nil {
-		p.leafs = map[string]router.LeafNews{}
+		p.leafs = map[string]news.Leaf{}
 	}
 	for _, n := range list {
 		if len(p.leafs) < newsAtOnce {
-			p.leafs[n.Leaf] = n
+			p.leafs[n.ID] = n
 		}
 	}
 	if p.flush == nil {
@@ -98,10 +100,7 @@
 // sendLeafs sends the news that has been gathered.
 func (p *peers) sendLeafs() {
 	p.mu.Lock()
-	list := make([]member.Leaf, 0, len(p.leafs))
-	for _, n := range p.leafs {
-		list = append(list, member.Leaf{ID: n.Leaf, Late: n.Late, Failing: n.Failing})
-	}
+	list := slices.Collect(maps.Values(p.leafs))
 	p.leafs, p.flush = nil, nil
 	packets := p.list.Near(p.tier.Clock.Now(), newsHosts)
 	p.mu.Unlock()
@@ -212,7 +211,7 @@
 func (p *peers) take(packet member.Packet) {
 	now := p.tier.Clock.Now()
 	p.mu.Lock()
-	news := p.list.Hear(now, packet.Hosts)
+	changed := p.list.Hear(now, packet.Hosts)
 	var answer []member.Packet
 	if packet.Ask {
 		answer = []member.Packet{p.list.Answer(now, packet.Hosts[0].Gossip)}
@@ -223,13 +222,9 @@
 		p.tier.post(router.Crashes{List: packet.Crashes})
 	}
 	if len(packet.Leafs) > 0 {
-		list := make([]router.LeafNews, len(packet.Leafs))
-		for i, f := range packet.Leafs {
-			list[i] = router.LeafNews{Leaf: f.ID, Late: f.Late, Failing: f.Failing}
-		}
-		p.tier.post(router.HeardOfLeafs{List: list})
+		p.tier.post(router.HeardOfLeafs{List: packet.Leafs})
 	}
-	if news {
+	if changed {
 		p.report()
 	}
 }
--- a/share/tier/peers_test.go
+++ b/share/tier/peers_test.go
@@ -14,6 +14,7 @@
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/hop"
+	"dandelionstile/share/news"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/route"
 	"dandelionstile/share/router"
@@ -79,7 +80,7 @@
 	for i := range tiers {
 		poll.WaitOn(t, reached(i, `"got":2`), poll.WithTimeout(10*time.Second))
 	}
-	tiers[0].peers.tellLeafs([]router.LeafNews{{Leaf: "i-1", Late: 170}})
+	tiers[0].peers.tellLeafs([]news.Leaf{{ID: "i-1", Late: 170}})
 	poll.WaitOn(t, reached(1, "leaf-heard"), poll.WithTimeout(5*time.Second))
 	assert.Equal(t, logs[2].with("leaf-heard"), 0)
 }
--- a/stile/cmds/losses.go
+++ b/stile/cmds/losses.go
@@ -87,6 +87,10 @@
 	causes map[string]float64
 }
 
+func newLoss(l logLine) *loss {
+	return &loss{route: l.text("route"), at: l.Time, causes: map[string]float64{}}
+}
+
 // lossesOf finds what each request lost.
 func lossesOf(lines []logLine, every int64) lossTable {
 	parts := forwardedMisses(lines)
@@ -98,13 +102,13 @@
 		}
 		switch l.Message {
 		case "admitted":
-			one := &loss{route: l.text("route"), at: l.Time, causes: map[string]float64{}}
+			one := newLoss(l)
 			open[l.Request] = one
 			all = append(all, one)
 		case "refused":
 			one := open[l.Request]
 			if one == nil {
-				one = &loss{route: l.text("route"), at: l.Time, causes: map[string]float64{}}
+				one = newLoss(l)
 				all = append(all, one)
 			}
 			one.causes["refused, "+plain(l.text("cause"))] = 1
