--- a/entry/routed/routed.go
+++ b/entry/routed/routed.go
@@ -44,7 +44,7 @@
 		Settings: tier.Settings{
 			Callers: s.Listen, Gossip: s.Gossip, Relay: s.Relay, Seeds: s.Seeds,
 			Source: r.Settings.Listen.IP(), Dialect: hop.Own,
-			Self:   router.Place{Host: r.Settings.Host.Name, Domain: r.Settings.Host.Domain},
+			Self:   router.Place{Host: r.Settings.Host.Name, Domain: r.Settings.Host.Domain, Address: s.Relay},
 			Policy: router.Policy{Ratio: s.SecondCalls.Ratio, Reserve: s.SecondCalls.Reserve},
 		},
 		Log: r.Log, Meter: r.Meter, Clock: clock.Wall{}, Around: r.traced,
--- a/share/member/codec.go
+++ b/share/member/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -13,67 +14,142 @@
 	"dandelionstile/share/wire"
 )
 
-// Encode writes a packet.
+// ErrPacket says that a datagram is not one of this system.
+var ErrPacket = errors.New("no packet of hosts")
+
+// thousand is the scale of shares on the wire.
+const thousand = 1000
+
+// Encode writes a packet. Updates of hosts whose address is not an IP and a port
+// are left out: nobody could reach them.
 func Encode(p Packet) ([]byte, error) {
-	g := &wire.Gossip{Hosts: make([]*wire.GossipHost, len(p.Hosts)), Ask: p.Ask}
-	for i, h := range p.Hosts {
-		g.Hosts[i] = &wire.GossipHost{
-			Gossip: h.Gossip, RelayPort: port(h.Relay), Domain: h.Domain, Started: h.Started, Beat: h.Beat, Leaving: h.Leaving,
+	e := encoder{domains: map[string]uint32{}}
+	g := &wire.MemberPacket{
+		Kind: uint32(p.Kind), Sequence: p.Sequence, Sender: e.member(p.Sender), Target: address(p.Target), Digest: p.Digest, Sum: p.Sum,
+		Updates: make([]*wire.Member, 0, len(p.Updates)),
+	}
+	if g.Sender == nil {
+		return nil, errors.Wrapf(ErrPacket, "sender %q", p.Sender.Host.Gossip)
+	}
+	for _, u := range p.Updates {
+		if m := e.member(u); m != nil {
+			g.Updates = append(g.Updates, m)
 		}
 	}
-	for _, s := range p.Crashes {
-		g.Strikes = append(g.Strikes, &wire.GossipStrike{Fingerprint: s.Fingerprint, Leaf: s.Leaf, AgeMs: uint32(max(0, s.Age))})
+	g.Domains = e.names
+	for _, c := range p.Crashes {
+		g.Crashes = append(g.Crashes, &wire.CrashReport{Fingerprint: c.Fingerprint, Leaf: c.Leaf, AgeMs: uint32(max(0, c.Age))})
 	}
-	for _, f := range p.Leafs {
-		g.Leafs = append(g.Leafs, &wire.GossipLeaf{
-			Leaf: f.ID, LateMs: uint32(max(0, f.Late)), Failing: uint32(f.Failing * thousand),
-		})
+	for _, n := range p.Leafs {
+		g.Leaves = append(g.Leaves, &wire.LeafReport{Leaf: n.ID, LateMs: uint32(max(0, n.Late)), Failing: uint32(n.Failing * thousand)})
 	}
 	body, err := proto.Marshal(g)
-	return body, errors.Wrap(err, "encode gossip")
+	return body, errors.Wrap(err, "encode packet")
+}
+
+// encoder numbers the failure domains of a packet.
+type encoder struct {
+	names   []string
+	domains map[string]uint32
+}
+
+func (e *encoder) member(u Update) *wire.Member {
+	at := address(u.Host.Gossip)
+	if at == nil {
+		return nil
+	}
+	index, ok := e.domains[u.Host.Domain]
+	if !ok {
+		index = uint32(len(e.names))
+		e.domains[u.Host.Domain] = index
+		e.names = append(e.names, u.Host.Domain)
+	}
+	return &wire.Member{
+		Address: at, ForwardPort: port(u.Host.Relay), Domain: index,
+		Started: u.Host.Started, Incarnation: u.Host.Incarnation, State: uint32(u.State),
+		Capacity: u.Host.Capacity,
+	}
 }
 
 // Decode reads a packet.
 func Decode(body []byte) (Packet, error) {
-	var g wire.Gossip
+	var g wire.MemberPacket
 	if err := proto.Unmarshal(body, &g); err != nil {
-		return Packet{}, errors.Wrap(err, "decode gossip")
+		return Packet{}, errors.Wrap(err, "decode packet")
+	}
+	sender, ok := update(&g, g.GetSender())
+	if !ok || g.GetKind() > uint32(Diff) {
+		return Packet{}, ErrPacket
 	}
-	hosts := make([]Host, 0, len(g.GetHosts()))
-	for _, h := range g.GetHosts() {
-		ip, _, err := net.SplitHostPort(h.GetGossip())
-		if err != nil {
-			continue // it cannot be reached, so it is of no use
+	p := Packet{Kind: Kind(g.GetKind()), Sequence: g.GetSequence(), Sender: sender, Digest: g.GetDigest(), Sum: g.GetSum()}
+	if p.Kind == PingFor {
+		if p.Target, ok = readAddress(g.GetTarget()); !ok {
+			return Packet{}, ErrPacket
 		}
-		hosts = append(hosts, Host{
-			Gossip: h.GetGossip(), Relay: net.JoinHostPort(ip, strconv.Itoa(int(h.GetRelayPort()))), Domain: h.GetDomain(),
-			Started: h.GetStarted(), Beat: h.GetBeat(), Leaving: h.GetLeaving(),
-		})
 	}
-	p := Packet{Hosts: hosts, Ask: g.GetAsk()}
-	for _, s := range g.GetStrikes() {
-		p.Crashes = append(p.Crashes, crash.Report{Fingerprint: s.GetFingerprint(), Leaf: s.GetLeaf(), Age: clock.Milli(s.GetAgeMs())})
+	for _, m := range g.GetUpdates() {
+		if u, ok := update(&g, m); ok {
+			p.Updates = append(p.Updates, u)
+		}
 	}
-	for _, f := range g.GetLeafs() {
+	for _, c := range g.GetCrashes() {
+		p.Crashes = append(p.Crashes, crash.Report{Fingerprint: c.GetFingerprint(), Leaf: c.GetLeaf(), Age: clock.Milli(c.GetAgeMs())})
+	}
+	for _, n := range g.GetLeaves() {
 		p.Leafs = append(p.Leafs, news.Leaf{
-			ID: f.GetLeaf(), Late: clock.Milli(f.GetLateMs()), Failing: min(1, float64(f.GetFailing())/thousand),
+			ID: n.GetLeaf(), Late: clock.Milli(n.GetLateMs()), Failing: min(1, float64(n.GetFailing())/thousand),
 		})
 	}
 	return p, nil
 }
 
-// thousand is the scale of shares on the wire.
-const thousand = 1000
+// update reads one member; false if it cannot be reached or its state is unknown.
+func update(g *wire.MemberPacket, m *wire.Member) (Update, bool) {
+	at, ok := readAddress(m.GetAddress())
+	if !ok || m.GetState() > uint32(Left) || int(m.GetDomain()) >= len(g.GetDomains()) {
+		return Update{}, false
+	}
+	ip, _, err := net.SplitHostPort(at)
+	if err != nil {
+		return Update{}, false
+	}
+	return Update{State: State(m.GetState()), Host: Host{
+		Gossip: at, Relay: net.JoinHostPort(ip, strconv.Itoa(int(m.GetForwardPort()))), Domain: g.GetDomains()[m.GetDomain()],
+		Started: m.GetStarted(), Incarnation: m.GetIncarnation(), Capacity: m.GetCapacity(),
+	}}, true
+}
+
+// address packs an IP and a port; nil for anything else.
+func address(text string) []byte {
+	at, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return nil
+	}
+	packed, err := at.MarshalBinary()
+	if err != nil {
+		return nil
+	}
+	return packed
+}
+
+func readAddress(packed []byte) (string, bool) {
+	var at netip.AddrPort
+	if err := at.UnmarshalBinary(packed); err != nil || !at.IsValid() {
+		return "", false
+	}
+	return at.String(), true
+}
 
-// port is the port of an address; 0 if it has none.
+// port is the port of an address; 0 if it has none, for a host that takes no
+// forwarded requests.
 func port(address string) uint32 {
 	_, text, err := net.SplitHostPort(address)
 	if err != nil {
-		return 0 // a host that takes no relayed requests
+		return 0
 	}
 	n, err := strconv.ParseUint(text, 10, 16)
 	if err != nil {
-		return 0 // as above
+		return 0
 	}
 	return uint32(n)
 }
--- a/share/member/fuzz_test.go
+++ b/share/member/fuzz_test.go
@@ -2,10 +2,10 @@
 
 import "testing"
 
-// Datagrams come from anywhere. Whatever they hold, no host without an address
-// is believed in, and what is taken can be passed on.
+// Guards against datagrams, which come from anywhere, that make a host count on
+// another without an address or hold what cannot be passed on.
 func FuzzDecode(f *testing.F) {
-	body, err := Encode(Packet{Hosts: []Host{{Gossip: "10.0.0.1:1", Relay: "10.0.0.1:2", Domain: "d", Beat: 3}}, Ask: true})
+	body, err := Encode(Packet{Kind: Sync, Sender: Update{Host: Host{Gossip: "10.0.0.1:1", Relay: "10.0.0.1:2", Domain: "d"}}, Digest: make([]uint32, buckets)})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -16,14 +16,16 @@
 			return
 		}
 		l := List{Self: Host{Gossip: "10.0.0.9:1"}}
-		l.Hear(1000, p.Hosts)
-		for _, h := range l.Alive(1000) {
+		packets := l.Receive(1000, p)
+		for _, h := range l.Alive() {
 			if h.Gossip == "" {
 				t.Fatal("a host without an address")
 			}
 		}
-		if _, err := Encode(l.Answer(1000, "10.0.0.2:1")); err != nil {
-			t.Fatal(err)
+		for _, p := range append(packets, l.Tick(1000)...) {
+			if _, err := Encode(p); err != nil {
+				t.Fatal(err)
+			}
 		}
 	})
 }
--- a/share/member/member.go
+++ b/share/member/member.go
@@ -1,14 +1,22 @@
-// Package member finds the other hosts and tells which of them are there. It
-// starts from a few seeds, which may be stale or down, and hosts tell each
-// other whom they have heard of. Nobody is in charge, nothing is agreed on:
-// each host's list is its own belief, and good enough for what it is used for,
-// which is to share limits out and to find helpers. It decides only; the caller
-// owns the socket.
+// Package member keeps the list of hosts that are up. Each host probes a few
+// others in turn, directly and then through third hosts; one that does not
+// answer is suspected, may refute that with a higher incarnation, and is dropped
+// otherwise. Changes travel with all packets and are pushed to random hosts while
+// they are new; digests of the whole list, compared now and then, mend what was
+// lost. Nothing is agreed on: each list is its host's own belief, used to share
+// limits out and to find helpers.
+//
+// The load pattern: hundreds to thousands of hosts, lost packets, hosts that stand
+// still for seconds, and many that end at the same time. What a host sends does
+// not grow with the number of hosts.
+//
+// The package decides only; its caller owns the socket.
 package member
 
 import (
 	"math/rand/v2"
-	"sort"
+	"slices"
+	"strings"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/crash"
@@ -18,252 +26,300 @@
 
 // Host is one process of the system.
 type Host struct {
-	// Gossip and Relay are where it takes gossip and relayed requests; Gossip
-	// identifies it.
-	Gossip string
-	Relay  string
-	Domain string
-	// Started is when it started, in Unix ms by its own clock.
+	// Gossip takes packets, by UDP, and identifies the host. Relay takes
+	// forwarded requests, by TCP.
+	Gossip, Relay string
+	Domain        string
+	// Capacity is the processor that it may use, in thousandths of a core; 0 if
+	// it is not known.
+	Capacity uint32
+	// Started is when the process started, in Unix ms by its own clock.
 	Started uint64
-	// Beat is counted up by the host itself; one that is not, is not there.
-	Beat    uint64
-	Leaving bool
+	// Incarnation is raised by the host itself to refute others' beliefs of it.
+	Incarnation uint64
 }
 
-// newer tells whether an entry replaces another for the same address.
-func (h Host) newer(o Host) bool {
-	if h.Started != o.Started {
-		return h.Started > o.Started
+// State is what is believed of a host. Of two beliefs about one incarnation the
+// higher replaces the lower.
+type State uint8
+
+// States of hosts.
+const (
+	Alive State = iota
+	// Suspect hosts have not answered and are still counted on.
+	Suspect
+	Dead
+	// Left hosts have said themselves that they leave.
+	Left
+)
+
+// Update is one belief about a host.
+type Update struct {
+	Host  Host
+	State State
+}
+
+// supersedes tells whether a belief replaces another about the same address.
+func (u Update) supersedes(o Update) bool {
+	if u.Host.Started != o.Host.Started {
+		return u.Host.Started > o.Host.Started
 	}
-	return h.Beat > o.Beat
+	if u.Host.Incarnation != o.Host.Incarnation {
+		return u.Host.Incarnation > o.Host.Incarnation
+	}
+	return u.State > o.State
 }
 
-// Timing and sizes of the exchange.
+// Kind is what a packet is for.
+type Kind uint8
+
+// Kinds of packets.
 const (
-	// Period is the pause between two rounds while there are few hosts.
-	Period clock.Milli = 400
-	// fewHosts is up to how many hosts the shortest period is kept; it grows
-	// with their number up to longPeriod, so that what a host sends is bounded.
-	fewHosts   = 40
-	longPeriod = 1000 * clock.Milli(1)
-	// perPacket is how many other hosts a packet tells of: about 1 KB.
-	perPacket = 18
-	// perAnswer is how many an answer to a host that asks tells of, some 3 KB:
-	// one that has just started learns of most others at once.
-	perAnswer = 60
-	// aliveFor is how long a host is believed to be there after its last beat.
-	// It covers several rounds, lost datagrams and the hops of a beat.
-	aliveFor = 5 * clock.Second
-	// aliveMore is added for each hundred hosts: a packet tells of a part of
-	// them only, and beats take more hops. With less, hosts that are
-	// there go uncounted in large fleets.
-	aliveMore = 10 * clock.Second
-	// forgetAfter is when a host that is gone is dropped from memory; an older
-	// beat of it that still goes round would make it alive again.
-	forgetAfter = 60 * clock.Second
-	// seedEvery is after how many rounds a seed is asked, known or not: it
-	// joins parts of the system that have lost each other. A host that has
-	// just started asks more often, for its first rounds.
-	seedEvery      = 20
-	seedEveryFirst = 4
-	firstRounds    = 16
-	// nearShare is the part of rounds whose packet stays in the failure
-	// domain; bytes between domains and regions are billed.
-	nearShare = 0.5
+	// Publish carries updates only.
+	Publish Kind = iota
+	// Ping asks for an Ack with the same sequence.
+	Ping
+	Ack
+	// PingFor asks the receiver to probe Target and to pass its Ack on.
+	PingFor
+	// Sync carries a digest; the receiver answers with Diff, the hosts of buckets
+	// that differ.
+	Sync
+	Diff
 )
 
-// Packet is what one host is told.
+// Packet is one datagram.
 type Packet struct {
-	To string
-	// Hosts begins with the sender.
-	Hosts []Host
+	To       string
+	Kind     Kind
+	Sequence uint64
+	Sender   Update
+	// Target is the host to probe, of PingFor.
+	Target  string
+	Updates []Update
+	// Digest is a hash for each bucket of the sender's list, of Sync.
+	Digest []uint32
+	// Sum is a hash of the sender's whole list, of Ack.
+	Sum uint32
 	// Crashes and Leafs pass through: they are the caller's.
 	Crashes []crash.Report
 	Leafs   []news.Leaf
-	// Ask asks the receiver to answer with what it knows.
-	Ask bool
 }
 
-// List is one host's belief about all hosts. Self and Seeds are set before
-// first use; Seeds may be replaced at any time.
+// Change is a host that has come or gone, for the log.
+type Change struct {
+	Host  Host
+	State State
+}
+
+const (
+	// forgetAfter is how long a host that is gone is remembered, so that an old
+	// update cannot bring it back and a healed network is noticed.
+	forgetAfter = 10 * clock.Minute
+	// mostChanges bounds the changes kept for the log.
+	mostChanges = 64
+)
+
+// List is one host's belief about all hosts. Self and Seeds are set before first
+// use; Seeds may be replaced at any time.
 type List struct {
 	Self  Host
 	Seeds []string
 
-	known map[string]*entry
-	round uint64
-	rand  *rand.Rand
+	started bool
+	rand    *rand.Rand
+	known   map[string]*entry
+	// ring holds the others that count as up, in the order of their hashes, and
+	// near those of them in the own failure domain.
+	ring, near []*entry
+	// gone holds those that do not, oldest first.
+	gone    []*entry
+	digest  [buckets]uint32
+	queue   []*entry
+	self    entry
+	version uint64
+	changes []Change
+	missed  int
+
+	probes   map[uint64]*probe
+	proxied  map[uint64]proxied
+	sequence uint64
+	suspects []*entry
+	dueAt    clock.Milli
+	probeAt  clock.Milli
+	shareAt  clock.Milli
+	syncAt   clock.Milli
+	syncedAt clock.Milli
+	// syncWith is a host whose list differs.
+	syncWith string
+	syncs    int
+	// learned counts the updates that the last sync has brought.
+	learned  int
+	servedAt clock.Milli
+	served   int
 }
 
+// entry is one host of the list.
 type entry struct {
-	host  Host
-	heard clock.Milli
+	Update
+	hash uint64
+	// goneAt is when it was dropped, and suspectedAt when it was suspected.
+	goneAt, suspectedAt clock.Milli
+	// sends is how many more packets publish it.
+	sends  int
+	queued bool
 }
 
-func (l *List) start() {
-	if l.known != nil {
+// up tells whether the host counts as there.
+func (e *entry) up() bool { return e.State == Alive || e.State == Suspect }
+
+func (l *List) start(now clock.Milli) {
+	if l.started {
 		return
 	}
+	l.started = true
 	l.known = map[string]*entry{}
+	l.probes = map[uint64]*probe{}
+	l.proxied = map[uint64]proxied{}
+	l.self = entry{Update: Update{Host: l.Self}, hash: rank.Of(l.Self.Gossip)}
 	// Seeded by the address: repeatable, and different between hosts.
-	l.rand = rand.New(rand.NewPCG(rank.Of(l.Self.Gossip), l.Self.Started))
+	l.rand = rand.New(rand.NewPCG(l.self.hash, l.Self.Started))
+	// The phase of the probes differs between hosts.
+	l.probeAt = now + clock.Milli(l.rand.Int64N(int64(probePeriod)))
+	l.syncAt = now
+	l.publishSelf()
 }
 
-// Round counts the own beat up and returns whom to tell what.
-func (l *List) Round(now clock.Milli) []Packet {
-	l.start()
-	l.Self.Beat++
-	l.round++
-	l.forget(now)
-	packets := make([]Packet, 0, 3)
-	for _, to := range l.targets(now) {
-		packets = append(packets, Packet{To: to, Hosts: l.sample(now, perPacket), Ask: l.starting()})
-	}
-	if seed, ok := l.seed(len(packets) == 0); ok {
-		// A host that has just started is known to nobody, and nobody would
-		// tell it anything: it asks.
-		packets = append(packets, Packet{To: seed, Hosts: l.sample(now, perPacket), Ask: true})
+// Alive lists the other hosts that count as up, by address. Version changes
+// whenever the list does.
+func (l *List) Alive() []Host {
+	list := make([]Host, len(l.ring))
+	for i, e := range l.ring {
+		list[i] = e.Host
 	}
-	return packets
+	slices.SortFunc(list, func(a, b Host) int { return strings.Compare(a.Gossip, b.Gossip) })
+	return list
 }
 
-// Farewell tells all others that this host leaves.
-func (l *List) Farewell(now clock.Milli) []Packet {
-	l.start()
-	l.Self.Leaving = true
-	l.Self.Beat++
-	var packets []Packet
-	for _, h := range l.Alive(now) {
-		packets = append(packets, Packet{To: h.Gossip, Hosts: []Host{l.Self}})
-	}
-	return packets
-}
+// Version counts the changes of Alive.
+func (l *List) Version() uint64 { return l.version }
 
-// Near is a packet for each host of the own failure domain; if there are more
-// than a number of them, for others each time.
-func (l *List) Near(now clock.Milli, most int) []Packet {
-	l.start()
-	var packets []Packet
-	for _, h := range l.Alive(now) {
-		if h.Domain == l.Self.Domain {
-			packets = append(packets, Packet{To: h.Gossip, Hosts: []Host{l.Self}})
-		}
-	}
-	l.rand.Shuffle(len(packets), func(i, j int) { packets[i], packets[j] = packets[j], packets[i] })
-	return packets[:min(len(packets), most)]
+// Changes returns the hosts that have come or gone since the last call, and how
+// many more there were.
+func (l *List) Changes() (list []Change, more int) {
+	list, more = l.changes, l.missed
+	l.changes, l.missed = nil, 0
+	return list, more
 }
 
-// Answer is what a host that has asked is told.
-func (l *List) Answer(now clock.Milli, to string) Packet {
-	l.start()
-	return Packet{To: to, Hosts: l.sample(now, perAnswer)}
+// hear takes an update from another host and says whether it was news.
+func (l *List) hear(now clock.Milli, u Update) bool {
+	switch u.Host.Gossip {
+	case "":
+		return false
+	case l.Self.Gossip:
+		l.refute(u)
+		return false
+	}
+	e := l.known[u.Host.Gossip]
+	if e == nil {
+		return l.add(now, u)
+	}
+	if !u.supersedes(e.Update) {
+		return false
+	}
+	l.set(now, e, u)
+	return true
 }
 
-// Every is the pause until the next round.
-func (l *List) Every() clock.Milli {
-	return min(longPeriod, Period*max(1, clock.Milli(len(l.known))/fewHosts))
+// add takes a host that was not known; one that is gone is kept only so that no
+// older update brings it back.
+func (l *List) add(now clock.Milli, u Update) bool {
+	e := &entry{Update: u, hash: rank.Of(u.Host.Gossip)}
+	l.known[u.Host.Gossip] = e
+	if !e.up() {
+		e.goneAt = now
+		l.gone = append(l.gone, e)
+		return false
+	}
+	l.insert(e)
+	l.suspectFrom(now, e)
+	l.changed(e)
+	return true
 }
 
-// Hear takes what another host has told and says whether a host is new or back.
-func (l *List) Hear(now clock.Milli, hosts []Host) bool {
-	l.start()
-	news := false
-	for _, h := range hosts {
-		if h.Gossip == l.Self.Gossip {
-			continue
-		}
-		e := l.known[h.Gossip]
-		if e == nil {
-			l.known[h.Gossip] = &entry{host: h, heard: now}
-			news = true
-			continue
-		}
-		// A process that started again after its clock was set back seems older
-		// than its former self; it is believed once that one is silent.
-		risen := h.Started != e.host.Started && now-e.heard > l.alive()
-		if !h.newer(e.host) && !risen {
-			continue
-		}
-		news = news || h.Started != e.host.Started || h.Leaving != e.host.Leaving || now-e.heard > l.alive()
-		e.host, e.heard = h, now
+// learn takes an update and publishes it if it was news.
+func (l *List) learn(now clock.Milli, u Update) {
+	if l.hear(now, u) {
+		l.publish(l.known[u.Host.Gossip])
 	}
-	return news
 }
 
-// Alive lists the hosts that are there and not leaving, without this one, by
-// address.
-func (l *List) Alive(now clock.Milli) []Host {
-	list := make([]Host, 0, len(l.known))
-	for _, e := range l.known {
-		if now-e.heard <= l.alive() && !e.host.Leaving {
-			list = append(list, e.host)
-		}
+// set replaces what is believed of a host.
+func (l *List) set(now clock.Milli, e *entry, u Update) {
+	former := *e
+	if former.up() {
+		l.remove(e)
+	} else {
+		l.gone = slices.DeleteFunc(l.gone, func(o *entry) bool { return o == e })
+	}
+	e.Update = u
+	if e.up() {
+		l.insert(e)
+		l.suspectFrom(now, e)
+	} else {
+		e.goneAt = now
+		l.gone = append(l.gone, e)
+	}
+	if former.up() != e.up() || former.Host.Started != e.Host.Started || former.Host.Relay != e.Host.Relay {
+		l.changed(e)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Gossip < list[j].Gossip })
-	return list
 }
 
-func (l *List) alive() clock.Milli {
-	return aliveFor + aliveMore*clock.Milli(len(l.known))/100
+// changed records a change of the list.
+func (l *List) changed(e *entry) {
+	l.version++
+	if len(l.changes) >= mostChanges {
+		l.missed++
+		return
+	}
+	l.changes = append(l.changes, Change{Host: e.Host, State: e.State})
 }
 
-func (l *List) forget(now clock.Milli) {
-	for key, e := range l.known {
-		if now-e.heard > forgetAfter {
-			delete(l.known, key)
-		}
+func (l *List) insert(e *entry) {
+	l.toggle(e)
+	at, _ := l.position(e)
+	l.ring = slices.Insert(l.ring, at, e)
+	if e.Host.Domain == l.Self.Domain {
+		l.near = append(l.near, e)
 	}
 }
 
-// targets chooses whom to tell in this round: mostly a host of the own failure
-// domain, at times any.
-func (l *List) targets(now clock.Milli) []string {
-	var near, far []string
-	for _, h := range l.Alive(now) {
-		if h.Domain == l.Self.Domain {
-			near = append(near, h.Gossip)
-		} else {
-			far = append(far, h.Gossip)
-		}
-	}
-	var chosen []string
-	if len(near) > 0 {
-		chosen = append(chosen, near[l.rand.IntN(len(near))])
-	}
-	if len(far) > 0 && (len(near) == 0 || l.starting() || l.rand.Float64() > nearShare) {
-		chosen = append(chosen, far[l.rand.IntN(len(far))])
+func (l *List) remove(e *entry) {
+	l.toggle(e)
+	if at, ok := l.position(e); ok {
+		l.ring = slices.Delete(l.ring, at, at+1)
 	}
-	return chosen
+	l.near = slices.DeleteFunc(l.near, func(o *entry) bool { return o == e })
 }
 
-// starting tells whether this host is in its first rounds, in which it asks
-// whomever it tells, to learn of all others soon.
-func (l *List) starting() bool { return l.round <= firstRounds }
-
-// seed chooses a seed to ask, now and then, or when nobody else is known.
-func (l *List) seed(alone bool) (string, bool) {
-	every := uint64(seedEvery)
-	if l.starting() {
-		every = seedEveryFirst
-	}
-	if len(l.Seeds) == 0 || (l.round%every != 1 && !alone) {
-		return "", false
-	}
-	seed := l.Seeds[l.rand.IntN(len(l.Seeds))]
-	return seed, seed != l.Self.Gossip
+// position finds where a host stands on the ring, or would stand.
+func (l *List) position(e *entry) (int, bool) {
+	return slices.BinarySearchFunc(l.ring, e, func(a, b *entry) int {
+		switch {
+		case a.hash != b.hash && a.hash < b.hash:
+			return -1
+		case a.hash != b.hash:
+			return 1
+		}
+		return strings.Compare(a.Host.Gossip, b.Host.Gossip)
+	})
 }
 
-// sample is what a packet tells: this host and others that are there. If not
-// all fit, half of them are those heard of last, whose news travels on at once,
-// and half any, so that none is left out for long.
-func (l *List) sample(now clock.Milli, most int) []Host {
-	others := l.Alive(now)
-	l.rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	if len(others) > most {
-		sort.SliceStable(others[:len(others)-most/2], func(i, j int) bool {
-			return l.known[others[i].Gossip].heard > l.known[others[j].Gossip].heard
-		})
-		others = append(others[:most/2], others[len(others)-most/2:]...)
+// forget drops hosts that have been gone for long.
+func (l *List) forget(now clock.Milli) {
+	for len(l.gone) > 0 && now-l.gone[0].goneAt > forgetAfter {
+		delete(l.known, l.gone[0].Host.Gossip)
+		l.gone = l.gone[1:]
 	}
-	return append([]Host{l.Self}, others...)
 }
--- a/share/member/member_test.go
+++ b/share/member/member_test.go
@@ -10,107 +10,111 @@
 	"dandelionstile/share/news"
 )
 
-// town is a number of hosts that gossip under a virtual clock.
-type town struct {
-	now   clock.Virtual
-	lists map[string]*List
-	cut   func(from, to string) bool
-	bytes int
-}
-
-const domains = 6
-
-func newTown(t *testing.T, n int) *town {
-	t.Helper()
-	w := &town{lists: map[string]*List{}}
-	seeds := []string{name(0), name(1), "nobody:1"}
-	for i := range n {
-		w.start(t, name(i), seeds, 1)
+// Guards against lists that miss hosts, count on dead ones or cost more as the
+// fleet grows.
+func TestListsHoldAtEverySize(t *testing.T) {
+	for _, one := range []struct {
+		hosts int
+		loss  float64
+	}{
+		{6, 0},
+		{6, 0.02},
+		{6, 0.1},
+		{60, 0},
+		{60, 0.02},
+		{60, 0.1},
+		{200, 0},
+		{200, 0.02},
+		{200, 0.1},
+		{1000, 0},
+		{1000, 0.02},
+		{1000, 0.1},
+		{5600, 0.02},
+	} {
+		t.Run(fmt.Sprintf("%d-hosts-%.0f-lost", one.hosts, 100*one.loss), func(t *testing.T) {
+			t.Parallel()
+			holds(t, one.hosts, one.loss)
+		})
 	}
-	return w
 }
 
-func name(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200) }
-
-// start runs a host from now on.
-func (w *town) start(t *testing.T, host string, seeds []string, started uint64) {
-	l := &List{Seeds: seeds, Self: Host{
-		Gossip: host, Relay: host, Domain: fmt.Sprintf("d%d", len(w.lists)%domains), Started: started,
-	}}
-	w.lists[host] = l
-	var round func()
-	round = func() {
-		if w.lists[host] != l {
-			return // it was killed
-		}
-		for _, p := range l.Round(w.now.Now()) {
-			w.deliver(t, host, p)
-		}
-		w.now.After(l.Every(), round)
+// holds plays a fleet from its start, through a calm time, stopped hosts, dead
+// ones and a fresh one.
+func holds(t *testing.T, n int, loss float64) {
+	w := newTown(t, n, loss)
+	w.run(14 * clock.Second)
+	t.Logf("after the start: %d of %d", w.fewest(), n-1)
+	if n > 1000 {
+		w.run(16 * clock.Second)
+		t.Logf("later: %d of %d", w.fewest(), n-1)
 	}
-	w.now.After(clock.Milli(len(w.lists)*7%int(Period)), round)
-}
+	assert.Equal(t, w.fewest(), n-1)
 
-func (w *town) deliver(t *testing.T, from string, p Packet) {
-	body, err := Encode(p)
-	assert.NilError(t, err)
-	w.bytes += len(body) + 28
-	if w.cut != nil && w.cut(from, p.To) {
-		return
-	}
-	w.now.After(20, func() {
-		if l := w.lists[p.To]; l != nil {
-			got, err := Decode(body)
-			assert.NilError(t, err)
-			l.Hear(w.now.Now(), got.Hosts)
-			if got.Ask {
-				w.deliver(t, p.To, l.Answer(w.now.Now(), got.Hosts[0].Gossip))
-			}
-		}
-	})
-}
+	w.packets, w.bytes = 0, 0
+	dropped := w.watch(10*clock.Second, nil)
+	packets, bytes := float64(w.packets)/float64(n)/10, float64(w.bytes)/float64(n)/10
+	t.Logf("calm: %.1f packets and %.0f bytes a host and second, %d pairs dropped at most", packets, bytes, dropped)
+	const mostPackets, mostBytes = 15, 1500
+	assert.Assert(t, packets < mostPackets && bytes < mostBytes)
+	assert.Assert(t, dropped <= n*n/1000, "living hosts dropped: %d pairs", dropped)
 
-func (w *town) run(span clock.Milli) { w.now.Run(w.now.Now() + span) }
+	stopped := map[*resident]bool{}
+	for i := 1; i <= n/10; i++ {
+		r := w.hosts[i*10-3]
+		stopped[r] = true
+		w.stop(t, r, 3*clock.Second)
+	}
+	dropped = w.watch(3*clock.Second, stopped)
+	t.Logf("%d stopped: %d pairs of others dropped at most", len(stopped), dropped)
+	assert.Assert(t, dropped <= n*n/1000, "hosts that were not stopped were dropped: %d pairs", dropped)
+	w.run(4 * clock.Second)
+	assert.Assert(t, w.counted() >= n*(n-1)-n*n/1000, "stopped hosts are not back: %d of %d pairs", w.counted(), n*(n-1))
 
-// fewest is the least number of others that any host believes to be there.
-func (w *town) fewest() int {
-	least := len(w.lists)
-	for _, l := range w.lists {
-		least = min(least, len(l.Alive(w.now.Now())))
+	dead := max(1, n/20)
+	for i := range dead {
+		w.hosts[n-1-i*3].dead = true
 	}
-	return least
+	w.run(6 * clock.Second)
+	left := n - dead
+	extra := w.counted() - left*(left-1)
+	t.Logf("%d dead: %d of %d pairs count on them after 6 s", dead, extra, left*dead)
+	assert.Assert(t, extra*100 <= left*dead, "dead hosts are counted on by more than one list in a hundred")
+
+	fresh := w.start(t, "10.8.0.1:7000", []string{name(0), name(1)}, 1)
+	w.run(3 * clock.Second)
+	t.Logf("a fresh host knows %d of %d", len(fresh.list.ring), left)
+	assert.Assert(t, len(fresh.list.ring) >= left, "a fresh host knows %d of %d", len(fresh.list.ring), left)
 }
 
-// Hosts start together and know three seeds, one of them stale. A few find all
-// others within seconds, many find nearly all: what a host does with its count
-// bears an error of a tenth. The cost is bounded.
-func TestHostsFindEachOther(t *testing.T) {
-	for _, n := range []int{7, 85, 300} {
-		w := newTown(t, n)
-		w.run(14 * clock.Second)
-		least := n - 1
-		if n > 20 {
-			least = n * 9 / 10
+// watch runs the town and returns the most pairs of a host and a living other
+// that it does not count on, at any moment. Hosts that stand still are left out.
+func (w *town) watch(span clock.Milli, without map[*resident]bool) int {
+	most := 0
+	for range span / 250 {
+		w.run(250)
+		dropped := 0
+		for _, r := range w.running() {
+			if without[r] {
+				continue
+			}
+			for _, o := range w.running() {
+				if e := r.list.known[o.list.Self.Gossip]; o != r && !without[o] && (e == nil || !e.up()) {
+					dropped++
+				}
+			}
 		}
-		t.Logf("%d hosts: %d others known at least", n, w.fewest())
-		assert.Assert(t, w.fewest() >= least, "%d of %d hosts", w.fewest(), n)
-		w.bytes = 0
-		w.run(10 * clock.Second)
-		t.Logf("%d hosts: %d others known at least", n, w.fewest())
-		assert.Assert(t, w.fewest() >= least, "%d of %d hosts", w.fewest(), n)
-		rate := float64(w.bytes) / float64(n) / 10
-		t.Logf("%d hosts: %.0f bytes a second each", n, rate)
-		assert.Assert(t, rate < 3000, "%.0f bytes a second", rate)
+		most = max(most, dropped)
 	}
+	return most
 }
 
-// Hosts are killed. The others stop counting on them within seconds, and see
-// one that starts again at the same address, even if its clock was set back.
+// Guards against hosts that are dead and stay in the lists, and against one that
+// starts again, its clock set back, and is not seen.
 func TestKilledHostsAreMissed(t *testing.T) {
-	w := newTown(t, 20)
+	w := newTown(t, 20, 0)
 	w.run(10 * clock.Second)
-	delete(w.lists, name(5))
-	delete(w.lists, name(0))
+	w.byName[name(5)].dead = true
+	w.byName[name(0)].dead = true
 	w.run(8 * clock.Second)
 	assert.Equal(t, w.fewest(), 17)
 	w.start(t, name(5), []string{name(1)}, 2)
@@ -119,49 +123,110 @@
 	assert.Equal(t, w.fewest(), 19)
 }
 
-// A host leaves in order. The others are told and stop sending it work before
-// it is gone.
-func TestLeavingHostIsToldOf(t *testing.T) {
-	w := newTown(t, 7)
+// Guards against work sent to a host that has said that it leaves.
+func TestLeavingHostIsDropped(t *testing.T) {
+	w := newTown(t, 7, 0)
 	w.run(8 * clock.Second)
-	for _, p := range w.lists[name(3)].Farewell(w.now.Now()) {
-		w.deliver(t, name(3), p)
-	}
+	r := w.byName[name(3)]
+	w.send(t, r.list.Leave(w.now.Now()))
 	w.run(200)
-	for host, l := range w.lists {
-		for _, h := range l.Alive(w.now.Now()) {
-			assert.Assert(t, h.Gossip != name(3), "%s still counts on it", host)
+	for _, o := range w.running() {
+		for _, h := range o.list.Alive() {
+			assert.Assert(t, h.Gossip != name(3), "%s still counts on it", o.list.Self.Gossip)
 		}
 	}
 }
 
-// The network falls into two parts for a while. Each part goes on with the
-// hosts that it reaches, and both are one again after it heals.
+// Guards against a leaving host that many of a large fleet do not hear of.
+func TestLeavingHostIsDroppedByLargeFleets(t *testing.T) {
+	w := newTown(t, 200, 0.02)
+	w.run(8 * clock.Second)
+	r := w.byName[name(3)]
+	w.send(t, r.list.Leave(w.now.Now()))
+	w.run(1500)
+	for _, o := range w.running() {
+		assert.Assert(t, o == r || !o.list.known[name(3)].up(), "%s still counts on it", o.list.Self.Gossip)
+	}
+}
+
+// Guards against parts of the system that have lost each other and stay apart.
 func TestPartsFindEachOtherAgain(t *testing.T) {
-	w := newTown(t, 20)
-	w.run(10 * clock.Second)
-	side := map[string]bool{}
-	for i := range 20 {
-		side[name(i)] = i%2 == 0
+	for _, n := range []int{20, 200} {
+		w := newTown(t, n, 0)
+		w.run(10 * clock.Second)
+		side := map[string]bool{}
+		for i := range n {
+			side[name(i)] = i%2 == 0
+		}
+		w.cut = func(from, to string) bool { return side[from] != side[to] }
+		w.run(20 * clock.Second)
+		assert.Equal(t, w.fewest(), n/2-1)
+		w.cut = nil
+		w.run(10 * clock.Second)
+		assert.Equal(t, w.fewest(), n-1)
 	}
-	w.cut = func(from, to string) bool { return side[from] != side[to] }
-	w.run(20 * clock.Second)
-	assert.Equal(t, w.fewest(), 9)
-	w.cut = nil
-	w.run(20 * clock.Second)
-	assert.Equal(t, w.fewest(), 19)
 }
 
-// A host has news for its neighbors. Each of the own failure domain gets a
-// packet, no other host does, and where there are more than it may tell at once
-// none is left out for good.
+// Guards against a dead host that comes back to life by an old update, and
+// against one at its address that is taken for it.
+func TestOldUpdatesDoNotReviveTheDead(t *testing.T) {
+	l := List{Self: Host{Gossip: "10.0.0.1:1", Domain: "d0", Started: 1}}
+	other := Host{Gossip: "10.0.0.2:1", Domain: "d1", Started: 5, Incarnation: 3}
+	hear := func(h Host, s State) { l.hear(1000, Update{Host: h, State: s}) }
+	l.start(1000)
+	hear(other, Alive)
+	hear(other, Dead)
+	assert.Equal(t, len(l.Alive()), 0)
+	hear(other, Alive)
+	older := other
+	older.Incarnation = 2
+	hear(older, Alive)
+	former := other
+	former.Started, former.Incarnation = 4, 9
+	hear(former, Alive)
+	assert.Equal(t, len(l.Alive()), 0)
+	next := other
+	next.Started, next.Incarnation = 6, 0
+	hear(next, Alive)
+	hear(other, Dead)
+	assert.DeepEqual(t, l.Alive(), []Host{next})
+}
+
+// Guards against hosts that are dropped although they answer: one that is
+// suspected refutes before others give it up.
+func TestSuspectedHostRefutes(t *testing.T) {
+	w := newTown(t, 30, 0)
+	w.run(10 * clock.Second)
+	r, by := w.byName[name(7)], w.byName[name(8)]
+	w.send(t, by.list.suspect(w.now.Now(), by.list.known[name(7)]))
+	w.schedule(t, by)
+	w.run(1500)
+	assert.Equal(t, r.list.Self.Incarnation, uint64(1))
+	w.run(4 * clock.Second)
+	assert.Equal(t, w.fewest(), 29)
+}
+
+// Guards against a host that stood still and, waking, takes all others for dead.
+func TestStoppedHostDropsNobody(t *testing.T) {
+	w := newTown(t, 30, 0)
+	w.run(10*clock.Second + 100)
+	r := w.byName[name(7)]
+	version := r.list.Version()
+	w.stop(t, r, 6*clock.Second)
+	w.run(9 * clock.Second)
+	assert.Equal(t, len(r.list.ring), 29)
+	assert.Equal(t, r.list.Version(), version)
+	assert.Equal(t, w.fewest(), 29)
+}
+
+// Guards against hosts of the own failure domain that are left out for good where
+// there are more than may be told at once.
 func TestNearHostsAreTold(t *testing.T) {
 	l := List{Self: Host{Gossip: "10.0.0.1:1", Domain: "d0"}}
-	var hosts []Host
+	l.start(1000)
 	for i := range 40 {
-		hosts = append(hosts, Host{Gossip: fmt.Sprintf("10.0.1.%d:1", i), Domain: fmt.Sprintf("d%d", i%2), Beat: 1})
+		l.hear(1000, Update{Host: Host{Gossip: fmt.Sprintf("10.0.1.%d:1", i), Domain: fmt.Sprintf("d%d", i%2)}})
 	}
-	l.Hear(1000, hosts)
 	assert.Equal(t, len(l.Near(1000, 100)), 20)
 	told := map[string]bool{}
 	for range 40 {
@@ -174,13 +239,45 @@
 	assert.Equal(t, len(told), 20)
 }
 
-// News of leafs arrives as it was sent, and nonsense within bounds.
-func TestLeafNewsTravels(t *testing.T) {
+// Guards against a log that grows with the number of hosts that change at once.
+func TestChangesAreBounded(t *testing.T) {
+	l := List{Self: Host{Gossip: "10.0.0.1:1", Domain: "d0"}}
+	l.start(1000)
+	for i := range 2 * mostChanges {
+		l.hear(1000, Update{Host: Host{Gossip: name(i)}})
+	}
+	list, more := l.Changes()
+	assert.Equal(t, len(list), mostChanges)
+	assert.Equal(t, more, mostChanges)
+	list, more = l.Changes()
+	assert.Equal(t, len(list)+more, 0)
+}
+
+// Guards against reports of leaves that change on their way, and against nonsense
+// in them.
+func TestLeafReportsTravel(t *testing.T) {
 	sent := []news.Leaf{{ID: "i-1", Late: 170, Failing: 0.25}, {ID: "i-2"}, {ID: "i-3", Late: -5, Failing: 3}}
-	body, err := Encode(Packet{Hosts: []Host{{Gossip: "10.0.0.1:1"}}, Leafs: sent})
+	body, err := Encode(Packet{Sender: Update{Host: Host{Gossip: "10.0.0.1:1"}}, Leafs: sent})
 	assert.NilError(t, err)
 	p, err := Decode(body)
 	assert.NilError(t, err)
 	sent[2].Late, sent[2].Failing = 0, 1
 	assert.DeepEqual(t, p.Leafs, sent)
 }
+
+// Guards against packets that lose what they carry.
+func TestPacketsTravel(t *testing.T) {
+	sender := Update{Host: Host{Gossip: "10.0.0.1:1", Relay: "10.0.0.1:2", Domain: "d0", Capacity: 800, Started: 7, Incarnation: 2}}
+	other := Update{Host: Host{Gossip: "10.0.0.2:1", Relay: "10.0.0.2:2", Domain: "d1", Started: 8}, State: Suspect}
+	for _, p := range []Packet{
+		{Kind: Publish, Sender: sender, Updates: []Update{other, sender}},
+		{Kind: PingFor, Sequence: 9, Sum: 5, Sender: sender, Target: "10.0.0.3:1"},
+		{Kind: Sync, Sender: sender, Digest: []uint32{1, 2, 3}},
+	} {
+		body, err := Encode(p)
+		assert.NilError(t, err)
+		got, err := Decode(body)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, p)
+	}
+}
--- /dev/null
+++ b/share/member/town_test.go
@@ -0,0 +1,159 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionstile/share/clock"
+)
+
+// town is a number of hosts under a virtual clock, whose packets may be lost.
+type town struct {
+	now    clock.Virtual
+	rand   *rand.Rand
+	hosts  []*resident
+	byName map[string]*resident
+	loss   float64
+	cut    func(from, to string) bool
+	// packets and bytes were sent since the last reset.
+	packets, bytes int
+	// sized is which share of packets is encoded to learn its size.
+	sized int
+}
+
+// resident is one host. A stopped one neither sends nor reads.
+type resident struct {
+	list    *List
+	stopped bool
+	dead    bool
+	waiting []Packet
+	due     clock.Milli
+}
+
+const domains = 6
+
+func newTown(t *testing.T, n int, loss float64) *town {
+	t.Helper()
+	w := &town{rand: rand.New(rand.NewPCG(uint64(n), 7)), byName: map[string]*resident{}, loss: loss, sized: 1}
+	if n > 1000 {
+		w.sized = 32
+	}
+	seeds := []string{name(0), name(1), "10.9.9.9:1"}
+	for i := range n {
+		w.start(t, name(i), seeds, 1)
+	}
+	return w
+}
+
+func name(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200) }
+
+// start runs a host from now on, in place of one at the same address.
+func (w *town) start(t *testing.T, host string, seeds []string, started uint64) *resident {
+	r := &resident{list: &List{Seeds: seeds, Self: Host{
+		Gossip: host, Relay: host, Domain: fmt.Sprintf("d%d", len(w.hosts)%domains), Started: started,
+	}}}
+	if former := w.byName[host]; former != nil {
+		former.dead = true
+		r.list.Self.Domain = former.list.Self.Domain
+	}
+	w.byName[host] = r
+	w.hosts = append(w.hosts, r)
+	w.now.After(clock.Milli(len(w.hosts)%300), func() { w.tick(t, r) })
+	return r
+}
+
+func (w *town) tick(t *testing.T, r *resident) {
+	if r.dead || r.stopped {
+		return
+	}
+	w.send(t, r.list.Tick(w.now.Now()))
+	w.schedule(t, r)
+}
+
+// schedule ticks a host when it is due.
+func (w *town) schedule(t *testing.T, r *resident) {
+	at := max(r.list.Next(), w.now.Now()+1)
+	if r.due > w.now.Now() && r.due <= at {
+		return
+	}
+	r.due = at
+	w.now.At(at, func() {
+		if r.due == at {
+			w.tick(t, r)
+		}
+	})
+}
+
+func (w *town) send(t *testing.T, packets []Packet) {
+	for _, p := range packets {
+		if w.packets++; w.packets%w.sized == 0 {
+			body, err := Encode(p)
+			assert.NilError(t, err)
+			const headers = 28 // of IP and UDP
+			w.bytes += (len(body) + headers) * w.sized
+		}
+		if w.rand.Float64() < w.loss || w.cut != nil && w.cut(p.Sender.Host.Gossip, p.To) {
+			continue
+		}
+		w.now.After(1+clock.Milli(w.rand.IntN(24)), func() { w.deliver(t, p) })
+	}
+}
+
+func (w *town) deliver(t *testing.T, p Packet) {
+	r := w.byName[p.To]
+	switch {
+	case r == nil || r.dead:
+	case r.stopped:
+		r.waiting = append(r.waiting, p)
+	default:
+		w.send(t, r.list.Receive(w.now.Now(), p))
+		w.schedule(t, r)
+	}
+}
+
+// stop holds a host for a span; what it was sent waits.
+func (w *town) stop(t *testing.T, r *resident, span clock.Milli) {
+	r.stopped = true
+	w.now.After(span, func() {
+		r.stopped = false
+		w.tick(t, r)
+		for _, p := range r.waiting {
+			w.deliver(t, p)
+		}
+		r.waiting = nil
+	})
+}
+
+func (w *town) run(span clock.Milli) { w.now.Run(w.now.Now() + span) }
+
+// running lists the hosts that are there.
+func (w *town) running() []*resident {
+	var list []*resident
+	for _, r := range w.hosts {
+		if !r.dead {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// fewest is the least number of others that any host counts on.
+func (w *town) fewest() int {
+	least := len(w.hosts)
+	for _, r := range w.running() {
+		least = min(least, len(r.list.ring))
+	}
+	return least
+}
+
+// counted is how many pairs there are of a host and another that it counts on.
+func (w *town) counted() int {
+	n := 0
+	for _, r := range w.running() {
+		n += len(r.list.ring)
+	}
+	return n
+}
--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -58,11 +58,15 @@
 	Store Source
 	// Wait is how long a read of the store waits for a change. Twice as much
 	// may pass until a host notices that the one it follows is cut off.
-	Wait   clock.Milli
-	Engine *fetch.Engine
-	Clock  clock.Clock
-	Log    zerolog.Logger
-	Sink   Sink
+	Wait clock.Milli
+	// Meet is how long the first read waits at most for other hosts to be known,
+	// and Settle how long it waits for more of them. Hosts that start together
+	// would otherwise all read the store.
+	Meet, Settle clock.Milli
+	Engine       *fetch.Engine
+	Clock        clock.Clock
+	Log          zerolog.Logger
+	Sink         Sink
 
 	mirror  Mirror
 	mu      sync.Mutex
@@ -72,6 +76,7 @@
 	after   int64
 	freshAt clock.Milli
 	lost    bool
+	met     chan struct{}
 	stop    chan struct{}
 	done    sync.WaitGroup
 }
@@ -82,6 +87,9 @@
 // Start begins to read.
 func (f *Follower) Start() {
 	f.stop = make(chan struct{})
+	f.mu.Lock()
+	f.knowMet()
+	f.mu.Unlock()
 	f.choose.self = f.Self
 	f.freshAt = f.Clock.Now()
 	f.source = "none"
@@ -93,6 +101,37 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.choose.peers = list
+	f.knowMet()
+}
+
+// knowMet makes the channel that is closed once other hosts are known, and closes
+// it when they are.
+func (f *Follower) knowMet() {
+	if f.met == nil {
+		f.met = make(chan struct{})
+	}
+	select {
+	case <-f.met:
+	default:
+		if len(f.choose.peers) > 0 {
+			close(f.met)
+		}
+	}
+}
+
+// meet waits until other hosts are known.
+func (f *Follower) meet() {
+	select {
+	case <-f.stop:
+		return
+	case <-time.After(f.Meet.Duration()):
+		return
+	case <-f.met:
+	}
+	select {
+	case <-f.stop:
+	case <-time.After(min(f.Settle, f.Meet).Duration()):
+	}
 }
 
 // Close ends the reading and waits.
@@ -107,6 +146,7 @@
 }
 
 func (f *Follower) run() {
+	f.meet()
 	for {
 		pause := gather
 		if err := f.step(); err != nil {
--- a/share/mirror/mirror_test.go
+++ b/share/mirror/mirror_test.go
@@ -84,6 +84,14 @@
 	revision int64
 	down     bool
 	reads    int
+	listed   int
+}
+
+// lists is how often all there is was read.
+func (s *scripted) lists() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed
 }
 
 func (s *scripted) Drop() {}
@@ -92,6 +100,9 @@
 	end := time.Now().Add(wait.Duration())
 	s.mu.Lock()
 	s.reads++
+	if after == 0 {
+		s.listed++
+	}
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
@@ -189,6 +200,13 @@
 
 // region starts hosts of one region over a store.
 func region(t *testing.T, store *scripted, n int) []*host {
+	t.Helper()
+	return regionMeeting(t, store, n, nil)
+}
+
+// regionMeeting is region, or hosts that are tuned first and get to know each
+// other after their start.
+func regionMeeting(t *testing.T, store *scripted, n int, tune func(*Follower)) []*host {
 	t.Helper()
 	engine := &fetch.Engine{}
 	assert.NilError(t, engine.Start())
@@ -208,8 +226,15 @@
 		h.follower.Self, h.follower.Store, h.follower.Wait = peers[i], store, testWait
 		h.follower.Engine, h.follower.Clock, h.follower.Log, h.follower.Sink = engine, clock.Wall{}, zerolog.Nop(), &h.sink
 		others := append(append([]Peer{}, peers[:i]...), peers[i+1:]...)
-		h.follower.SetPeers(others)
-		h.follower.Start()
+		if tune == nil {
+			h.follower.SetPeers(others)
+			h.follower.Start()
+		} else {
+			tune(&h.follower)
+			h.follower.Start()
+			time.AfterFunc(50*time.Millisecond, func() { h.follower.SetPeers(others[:len(others)/2]) })
+			time.AfterFunc(150*time.Millisecond, func() { h.follower.SetPeers(others) })
+		}
 		t.Cleanup(func() { h.close(t) })
 	}
 	return hosts
@@ -336,3 +361,20 @@
 	close(source.end)
 	assert.NilError(t, f.Close())
 }
+
+// Guards against hosts that start together and all read the store.
+func TestHostsThatStartTogetherReadOnce(t *testing.T) {
+	store := &scripted{revision: 1}
+	hosts := regionMeeting(t, store, 8, func(f *Follower) { f.Meet, f.Settle = 2*clock.Second, 300 })
+	for _, h := range hosts {
+		poll.WaitOn(t, h.sink.has(1), poll.WithTimeout(5*time.Second))
+	}
+	assert.Equal(t, store.lists(), 1)
+}
+
+// Guards against a host that knows no other and never reads.
+func TestLoneHostReads(t *testing.T) {
+	store := &scripted{revision: 1}
+	h := regionMeeting(t, store, 1, func(f *Follower) { f.Meet, f.Settle = 100, 50 })[0]
+	poll.WaitOn(t, h.sink.has(1), poll.WithTimeout(5*time.Second))
+}
--- a/share/pace/pace.go
+++ b/share/pace/pace.go
@@ -38,8 +38,8 @@
 )
 
 // Has tells whether a request may go now, at a rate per second of all hosts.
-func (p *Pace) Has(now clock.Milli, rate float64, hosts int) bool {
-	own := rate / float64(hosts)
+func (p *Pace) Has(now clock.Milli, rate float64, hosts float64) bool {
+	own := rate / hosts
 	if hosts > crowdHosts {
 		own *= crowdPart
 	}
--- a/share/pace/pace_test.go
+++ b/share/pace/pace_test.go
@@ -22,7 +22,7 @@
 	var sent []clock.Milli
 	for now := from; now < from+span; now += 10 {
 		for i := range paces {
-			if int(now/10)%10 >= busy && i%2 == 0 || !paces[i].Has(now, rate, hosts) {
+			if int(now/10)%10 >= busy && i%2 == 0 || !paces[i].Has(now, rate, float64(hosts)) {
 				continue
 			}
 			paces[i].Spend()
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -13,8 +13,12 @@
 	"dandelionstile/share/route"
 )
 
-// Place is where this host stands, and its name.
-type Place struct{ Host, Domain, Region string }
+// Place is where this host stands, its name, where it takes forwarded requests,
+// and its processor as of Peer.
+type Place struct {
+	Host, Domain, Region, Address string
+	Capacity                      uint32
+}
 
 // Engine is the state of all decisions of one process. It is driven by one
 // control loop. The exported fields are set before the first event.
@@ -24,11 +28,18 @@
 	Regions map[string]string
 	Policy  Policy
 
-	table    *route.Table
-	out      map[string]bool
-	hosts    int
-	peers    map[string]*peer
-	near     map[string][]*peer // by failure domain, in order of rank
+	table *route.Table
+	out   map[string]bool
+	hosts int
+	peers map[string]*peer
+	near  map[string][]*peer // by failure domain, as setAggregators orders them
+	// aggregator is set while this host asks the leaves of its failure domain
+	// itself, and claims while it takes an aggregator's part of them.
+	aggregator, claims bool
+	// crew is the number of hosts of the own failure domain.
+	crew peak
+	// sharded are the services that are shards of a route.
+	sharded  map[string]bool
 	forwards map[uint64]*forward
 	leafs    map[string]*leaf
 	services map[string]*service
@@ -68,6 +79,7 @@
 	e.Policy = e.Policy.filled()
 	e.hosts = e.Policy.Hosts
 	e.peers = map[string]*peer{}
+	e.aggregator = true
 	e.forwards = map[uint64]*forward{}
 	e.leafs = map[string]*leaf{}
 	e.services = map[string]*service{}
@@ -128,6 +140,7 @@
 func (e *Engine) facts(now clock.Milli, f Facts) {
 	if f.Table != nil && (e.table == nil || f.Table.Version > e.table.Version) {
 		e.table = f.Table
+		e.sharded = shards(f.Table)
 		e.do(Note{Kind: NoteTable, Version: f.Table.Version, Of: len(f.Table.Routes)})
 	}
 	if f.Regions != nil {
@@ -167,7 +180,7 @@
 // share works out this host's part of what all hosts share.
 func (e *Engine) share(now clock.Milli) {
 	for _, s := range e.services {
-		s.budget.Fill(e.Policy.Ratio, e.Policy.Reserve/float64(e.hosts))
+		e.fill(s)
 		for _, l := range s.leafs {
 			e.allot(l, s)
 		}
@@ -175,13 +188,18 @@
 	}
 }
 
+// fill gives a service's budget this host's part.
+func (e *Engine) fill(s *service) {
+	s.budget.Fill(e.Policy.Ratio, e.Policy.Reserve/e.spenders(s))
+}
+
 // allot gives a leaf this host's part of what all hosts share.
 func (e *Engine) allot(f *leaf, s *service) {
-	f.limit = e.connections(s.config)
+	f.hosts = e.askers(f)
+	f.limit = connections(s.config, f.hosts)
 	if f.Slots > 0 {
 		f.limit = min(f.limit, f.Slots+f.Slots/waitingShare)
 	}
-	f.hosts = e.hosts
 }
 
 func (e *Engine) domains(out map[string]bool) {
@@ -206,7 +224,7 @@
 		if e.table != nil {
 			s.config = e.table.Services[name]
 		}
-		s.budget.Fill(e.Policy.Ratio, e.Policy.Reserve/float64(e.hosts))
+		e.fill(s)
 		e.services[name] = s
 	}
 	return s
@@ -229,13 +247,13 @@
 	unknownConnections = 4
 )
 
-// connections is how many connections to each leaf of a service this host
-// uses, so that all hosts together stay within the leaf's limit.
-func (e *Engine) connections(s route.Service) int {
+// connections is how many connections to each leaf of a service one of several
+// hosts uses, so that all of them together stay within the leaf's limit.
+func connections(s route.Service, hosts float64) int {
 	if s.Connections == 0 {
 		return unknownConnections
 	}
-	own := int(float64(s.Connections) * connectionShare / float64(e.hosts))
+	own := int(float64(s.Connections) * connectionShare / hosts)
 	return max(1, min(own, mostConnections))
 }
 
--- a/share/router/leaf.go
+++ b/share/router/leaf.go
@@ -47,8 +47,8 @@
 	coldUntil   clock.Milli
 	pace        pace.Pace
 	removed     bool
-	// hosts is how many hosts share the leaf.
-	hosts int
+	// hosts is how many hosts share the leaf, if all were as this one.
+	hosts float64
 	told  news.Told
 	// calledAt is when a call from here ended last.
 	calledAt clock.Milli
@@ -112,7 +112,7 @@
 // leaf again as soon as one of a few does, all together would try it at every
 // call.
 func (f *leaf) memory() float64 {
-	return min(max(1, float64(f.hosts)/fewHosts), mostMemory)
+	return min(max(1, f.hosts/fewHosts), mostMemory)
 }
 
 // observe feeds the time of a reply.
--- a/share/router/news.go
+++ b/share/router/news.go
@@ -39,7 +39,7 @@
 
 // tell passes on what a call has shown of a leaf, if it is news.
 func (e *Engine) tell(now clock.Milli, f *leaf) {
-	if f.removed || len(e.near[e.Self.Domain]) == 0 || now < e.delayedAt+mistrust {
+	if f.removed || len(e.near[e.Self.Domain]) == 0 || now < e.delayedAt+mistrust || e.sharded[f.Service] && e.tieredIn(f.Domain) {
 		return
 	}
 	usual := e.usual(f)
--- a/share/router/peer.go
+++ b/share/router/peer.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"slices"
 
 	"dandelionstile/share/call"
@@ -16,7 +15,7 @@
 	// way is the round trip to it in ms, smoothed; 0 is not known.
 	way float64
 	out []*forward
-	// rank orders the hosts of a failure domain, differently on each host.
+	// rank orders the aggregators of a failure domain, differently on each host.
 	rank uint64
 	// until is the end of a pause after a failure, and pause its length.
 	until clock.Milli
@@ -59,13 +58,11 @@
 		e.peers[p.Address] = one
 		e.near[p.Domain] = append(e.near[p.Domain], one)
 	}
-	for _, domain := range e.near {
-		slices.SortFunc(domain, func(a, b *peer) int { return cmp.Compare(a.rank, b.rank) })
-	}
+	e.setAggregators()
 	e.warm(known)
 	hosts := max(e.Policy.Hosts, len(list)+1)
-	if hosts != e.hosts {
-		e.hosts = hosts
+	if claims := e.mayClaim(now); hosts != e.hosts || claims != e.claims || e.tiered() {
+		e.hosts, e.claims = hosts, claims
 		e.share(now)
 	}
 	e.do(Note{Kind: NotePeers, Got: len(list), Of: hosts})
@@ -74,10 +71,10 @@
 // warm opens connections ahead to the hosts that are used first.
 func (e *Engine) warm(known map[string]*peer) {
 	for domain, peers := range e.near {
-		if domain == e.Self.Domain {
+		if domain == e.Self.Domain && e.aggregator {
 			continue
 		}
-		for _, p := range peers[:min(len(peers), choices)] {
+		for _, p := range peers[:min(len(peers), e.Policy.Aggregators)] {
 			if known[p.Address] == nil {
 				e.do(Warm{Address: p.Address})
 			}
@@ -85,11 +82,6 @@
 	}
 }
 
-// choices is among how many hosts of a failure domain shards to forward are placed: few,
-// so that connections to them stay open, and more than one, so that it can go
-// round one that is busy or gone.
-const choices = 3
-
 // split tells which shards of a query are asked for from here, and which are
 // handed to whom.
 func (e *Engine) split(now clock.Milli, q *query) (here []*shard, away []handover) {
@@ -99,10 +91,10 @@
 	var far []*shard
 	near := map[string][]*shard{}
 	for _, s := range q.shards {
-		switch domain := e.nearest(s); domain {
-		case e.Self.Domain:
+		switch domain := e.nearest(s); {
+		case domain == e.Self.Domain && e.aggregator:
 			here = append(here, s)
-		case "":
+		case domain == "":
 			far = append(far, s)
 		default:
 			near[domain] = append(near[domain], s)
@@ -184,7 +176,7 @@
 		if best == nil || c < cost {
 			best, cost = p, c
 		}
-		if seen++; seen == choices {
+		if seen++; seen == e.Policy.Aggregators {
 			break
 		}
 	}
--- a/share/router/policy.go
+++ b/share/router/policy.go
@@ -17,6 +17,8 @@
 	// Hosts is the least number of hosts that are taken to share the leafs,
 	// until as many others are known.
 	Hosts int
+	// Aggregators is how many hosts of a failure domain ask its leaves.
+	Aggregators int
 	// Patience is the longest wait for a free leaf, as a share of the route's
 	// target.
 	Patience float64
@@ -37,6 +39,9 @@
 	// connections and second calls for itself: with six, the small
 	// deployments of today stay within their limits however little is known.
 	defaultHosts = 6
+	// defaultAggregators are few, so that each knows the leaves well, and more
+	// than one, so that queries can go round one that is busy or gone.
+	defaultAggregators = 3
 	// defaultPatience: a request that found no leaf within a quarter of its
 	// target has little left to be answered in, and its caller is better sent
 	// away while it can still come back in time.
@@ -59,6 +64,9 @@
 	if p.Hosts == 0 {
 		p.Hosts = defaultHosts
 	}
+	if p.Aggregators == 0 {
+		p.Aggregators = defaultAggregators
+	}
 	if p.Patience == 0 {
 		p.Patience = defaultPatience
 	}
--- a/share/router/replay_test.go
+++ b/share/router/replay_test.go
@@ -64,33 +64,44 @@
 	assert.Assert(t, after > 0.74, "after %.3f", after)
 }
 
-// One leaf in seven turns slow under sixty hosts, each of which calls a leaf once
-// in some seconds. The first hosts that find out tell those of their failure
-// domain; if each had to find out alone, most queries would meet a slow leaf that
-// their host does not know of until the trouble is nearly over. Word of others is
-// to win back half of what is lost against hosts that know all from the start.
-func TestLargeFleetAvoidsSlowLeafs(t *testing.T) {
-	credit := func(trouble func(w *world)) float64 {
-		const seeds, hosts = 3, 60
-		sum := 0.0
-		for seed := int64(1); seed <= seeds; seed++ {
-			w := newFleet(t, seed, hosts, 40, 0, browse(60), peek(20))
-			w.load(12000)
-			w.run(5000)
-			trouble(w)
-			w.slow(9)
-			w.run(15000)
-			sum += w.credit(5500, 10000)
-		}
-		return sum / seeds
+// fleetUnderSlowLeaves is the credit of callers while one leaf in seven takes nine
+// times as long, under sixty hosts.
+func fleetUnderSlowLeaves(t *testing.T, aggregators int, trouble func(w *world)) float64 {
+	t.Helper()
+	const seeds, hosts = 3, 60
+	sum := 0.0
+	for seed := int64(1); seed <= seeds; seed++ {
+		w := newFleet(t, seed, hosts, aggregators, 40, 0, browse(60), peek(20))
+		w.load(12000)
+		w.run(5000)
+		trouble(w)
+		w.slow(9)
+		w.run(15000)
+		sum += w.credit(5500, 10000)
 	}
-	told := credit(func(*world) {})
-	alone := credit(func(w *world) { w.silent = true })
-	knowing := credit(func(w *world) { w.withoutSlow() })
+	return sum / seeds
+}
+
+// Guards against hosts that each find out alone that a leaf is slow: word of others
+// is to win back half of what is lost against hosts that know all from the start.
+func TestLargeFleetAvoidsSlowLeafs(t *testing.T) {
+	told := fleetUnderSlowLeaves(t, allHosts, func(*world) {})
+	alone := fleetUnderSlowLeaves(t, allHosts, func(w *world) { w.silent = true })
+	knowing := fleetUnderSlowLeaves(t, allHosts, func(w *world) { w.withoutSlow() })
 	t.Logf("credit alone %.3f, told %.3f, knowing all %.3f", alone, told, knowing)
 	assert.Assert(t, told-alone >= 0.5*(knowing-alone), "alone %.3f, told %.3f, knowing all %.3f", alone, told, knowing)
 }
 
+// Guards against aggregators that know leaves no better than hosts that ask alone:
+// they are to win back half of what is lost, without a word between hosts.
+func TestAggregatorsAvoidSlowLeaves(t *testing.T) {
+	few := fleetUnderSlowLeaves(t, 0, func(*world) {})
+	alone := fleetUnderSlowLeaves(t, allHosts, func(w *world) { w.silent = true })
+	knowing := fleetUnderSlowLeaves(t, allHosts, func(w *world) { w.withoutSlow() })
+	t.Logf("credit alone %.3f, by aggregators %.3f, knowing all %.3f", alone, few, knowing)
+	assert.Assert(t, few-alone >= 0.5*(knowing-alone), "alone %.3f, by aggregators %.3f, knowing all %.3f", alone, few, knowing)
+}
+
 // slowEvery is how many leafs there are for each that turns slow.
 const slowEvery = 7
 
--- a/share/router/single_test.go
+++ b/share/router/single_test.go
@@ -182,7 +182,7 @@
 		hosts    int
 		forgives bool
 	}{{6, true}, {80, false}} {
-		f := &leaf{hosts: c.hosts}
+		f := &leaf{hosts: float64(c.hosts)}
 		for i := range clock.Milli(8) {
 			f.observe(1000+100*i, 240)
 		}
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -69,7 +69,10 @@
 	// Address is where it takes forwarded requests.
 	Address string
 	Domain  string
-	Started uint64
+	// Capacity is the processor that it may use, in thousandths of a core; 0 if
+	// it is not known.
+	Capacity uint32
+	Started  uint64
 }
 
 // Probed is what a leaf said of its health.
--- a/share/router/world_test.go
+++ b/share/router/world_test.go
@@ -31,6 +31,8 @@
 	table *route.Table
 	list  []roster.Leaf
 	asked []*simRequest
+	// aggregators is the policy's; 0 is the default.
+	aggregators int
 	// silent hosts tell each other nothing of leafs.
 	silent bool
 	// stopped ends the arrivals.
@@ -125,7 +127,7 @@
 
 // start begins a new process.
 func (h *simHost) start() {
-	h.engine = &Engine{Self: h.place, Regions: simRegions, Policy: Policy{Ratio: 0.19, Reserve: 39, Hosts: len(h.w.hosts)}}
+	h.engine = &Engine{Self: h.place, Regions: simRegions, Policy: Policy{Ratio: 0.19, Reserve: 39, Hosts: len(h.w.hosts), Aggregators: h.w.aggregators}}
 	h.answers = map[uint64]func(Answer){}
 	h.calls = map[uint64]*simJob{}
 	h.dark = false
@@ -506,13 +508,17 @@
 // them; the first few have lost one of theirs.
 func newWorld(t *testing.T, seed int64, shards, single int, kinds ...simKind) *world {
 	t.Helper()
-	return newFleet(t, seed, smallFleet, shards, single, kinds...)
+	return newFleet(t, seed, smallFleet, 0, shards, single, kinds...)
 }
 
-// newFleet is newWorld with a number of hosts.
-func newFleet(t *testing.T, seed int64, hosts, shards, single int, kinds ...simKind) *world {
+// allHosts has every host ask the leaves of its failure domain itself.
+const allHosts = 1 << 20
+
+// newFleet is newWorld with a number of hosts, of which some ask the leaves of
+// each failure domain; 0 is the default.
+func newFleet(t *testing.T, seed int64, hosts, aggregators, shards, single int, kinds ...simKind) *world {
 	t.Helper()
-	w := &world{t: t, luck: rand.New(rand.NewSource(seed)), leafs: map[string]*simLeaf{}, kinds: kinds}
+	w := &world{t: t, aggregators: aggregators, luck: rand.New(rand.NewSource(seed)), leafs: map[string]*simLeaf{}, kinds: kinds}
 	routes := make([]route.Route, len(kinds))
 	services := map[string]route.Service{}
 	for i := range kinds {
@@ -533,7 +539,7 @@
 	domains := []string{"east-1", "west-1", "south-1"}
 	for i := range hosts {
 		d := domains[i%3]
-		w.hosts = append(w.hosts, &simHost{w: w, address: fmt.Sprintf("10.0.0.%d:1", i), place: Place{Host: fmt.Sprintf("h%d", i), Domain: d, Region: simRegions[d]}})
+		w.hosts = append(w.hosts, &simHost{w: w, address: fmt.Sprintf("10.0.0.%d:1", i), place: Place{Host: fmt.Sprintf("h%d", i), Domain: d, Region: simRegions[d], Address: fmt.Sprintf("10.0.0.%d:1", i)}})
 	}
 	for _, h := range w.hosts {
 		h.start()
--- a/share/tier/news_test.go
+++ b/share/tier/news_test.go
@@ -23,7 +23,7 @@
 	defer func() { assert.NilError(t, conn.Close()) }()
 	p := &peers{tier: &Tier{Log: zerolog.Nop(), Clock: clock.Wall{}}, conn: conn}
 	p.list.Self = member.Host{Gossip: "127.81.0.4:9", Domain: "d"}
-	p.list.Hear(p.tier.Clock.Now(), []member.Host{{Gossip: "127.81.0.5:9", Domain: "d", Beat: 1}})
+	p.list.Receive(p.tier.Clock.Now(), member.Packet{Sender: member.Update{Host: member.Host{Gossip: "127.81.0.5:9", Domain: "d"}}})
 	p.tellCrashes([]crash.Report{{Fingerprint: 1, Leaf: "i-1"}})
 	for range 2 * crashTimes {
 		p.leafs = map[string]news.Leaf{"i-2": {ID: "i-2", Late: 100}}
--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -1,16 +1,14 @@
 package tier
 
 import (
-	"maps"
 	"net"
-	"slices"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"dandelionstile/share/clock"
-	"dandelionstile/share/crash"
 	"dandelionstile/share/member"
 	"dandelionstile/share/news"
 	"dandelionstile/share/router"
@@ -27,7 +25,14 @@
 
 	mu   sync.Mutex
 	list member.List
-	last []router.Peer
+	// reported is the version of the list that was reported last.
+	reported   uint64
+	reportedAt clock.Milli
+	// sharedAt is when crash reports were last published.
+	sharedAt clock.Milli
+	// planned is when the next round is planned, and wake has it planned anew.
+	planned clock.Milli
+	wake    chan struct{}
 	// crashes are passed on with each packet of the next rounds.
 	crashes []toldCrash
 	// leafs waits to be told to the hosts of the own failure domain.
@@ -35,116 +40,22 @@
 	flush *time.Timer
 }
 
-// toldCrash is a crash and how often it is still to be passed on.
-type toldCrash struct {
-	crash.Report
-	at    clock.Milli
-	times int
-}
-
-const (
-	// crashTimes is how many packets pass a crash on. Whoever hears of it
-	// does the same, so that it reaches all hosts within a few rounds.
-	crashTimes = 6
-	// crashesAtOnce is how many crashes one packet holds at most.
-	crashesAtOnce = 24
-	// mostWaiting bounds the crashes that wait to be passed on.
-	mostWaiting = 256
-)
-
-// tellCrashes passes crashes on to other hosts.
-func (p *peers) tellCrashes(list []crash.Report) {
-	if p.conn == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.tier.Clock.Now()
-	for _, s := range list {
-		if len(p.crashes) < mostWaiting {
-			p.crashes = append(p.crashes, toldCrash{s, now - s.Age, crashTimes})
-		}
-	}
-}
-
-const (
-	// newsPause is how long news of leafs is gathered: a few of a host's calls
-	// show the same within this time, and a leaf's pause lasts many times as long.
-	newsPause = 15 * time.Millisecond
-	// newsHosts bounds the hosts that are told at once.
-	newsHosts = 24
-	// newsAtOnce bounds the leafs that one packet tells of.
-	newsAtOnce = 40
-)
-
-// tellLeafs passes news of leafs on to the hosts of the own failure domain.
-func (p *peers) tellLeafs(list []news.Leaf) {
-	if p.conn == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.leafs == nil {
-		p.leafs = map[string]news.Leaf{}
-	}
-	for _, n := range list {
-		if len(p.leafs) < newsAtOnce {
-			p.leafs[n.ID] = n
-		}
-	}
-	if p.flush == nil {
-		p.flush = time.AfterFunc(newsPause, p.sendLeafs)
-	}
-}
-
-// sendLeafs sends the news that has been gathered.
-func (p *peers) sendLeafs() {
-	p.mu.Lock()
-	list := slices.Collect(maps.Values(p.leafs))
-	p.leafs, p.flush = nil, nil
-	packets := p.list.Near(p.tier.Clock.Now(), newsHosts)
-	p.mu.Unlock()
-	for i := range packets {
-		packets[i].Leafs = list
-	}
-	p.send(packets)
-}
-
-// takeCrashes are the crashes for one packet.
-func (p *peers) takeCrashes() []crash.Report {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.tier.Clock.Now()
-	var list []crash.Report
-	rest := p.crashes[:0]
-	for _, s := range p.crashes {
-		if len(list) < crashesAtOnce {
-			list = append(list, crash.Report{Fingerprint: s.Fingerprint, Leaf: s.Leaf, Age: now - s.at})
-			s.times--
-		}
-		if s.times > 0 {
-			rest = append(rest, s)
-		}
-	}
-	p.crashes = rest
-	return list
-}
-
 // datagram is the largest datagram taken, in bytes.
 const datagram = 8 << 10
 
 func (p *peers) start(t *Tier) error {
-	address, err := net.ResolveUDPAddr("udp4", t.Settings.Gossip)
+	address, err := netip.ParseAddrPort(t.Settings.Gossip)
 	if err != nil {
 		return errors.Wrap(err, "gossip address")
 	}
-	conn, err := net.ListenUDP("udp4", address)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", t.Settings.Gossip)
 	}
-	p.tier, p.conn, p.stop = t, conn, make(chan struct{})
+	p.tier, p.conn, p.stop, p.wake = t, conn, make(chan struct{}), make(chan struct{}, 1)
 	p.list = member.List{Seeds: t.Settings.Seeds, Self: member.Host{
-		Gossip: t.Settings.Gossip, Relay: t.Settings.Relay, Domain: t.Settings.Self.Domain, Started: uint64(clock.Unix()),
+		Gossip: t.Settings.Gossip, Relay: t.Settings.Relay, Domain: t.Settings.Self.Domain,
+		Capacity: t.Settings.Self.Capacity, Started: uint64(clock.Unix()),
 	}}
 	p.done.Go(p.hear)
 	p.done.Go(p.run)
@@ -164,9 +75,9 @@
 		return
 	}
 	p.mu.Lock()
-	packets := p.list.Farewell(p.tier.Clock.Now())
+	packets := p.list.Leave(p.tier.Clock.Now())
 	p.mu.Unlock()
-	p.gossip(packets)
+	p.send(packets)
 }
 
 func (p *peers) close() error {
@@ -187,7 +98,7 @@
 func (p *peers) hear() {
 	buf := make([]byte, datagram)
 	for {
-		n, _, err := p.conn.ReadFromUDP(buf)
+		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			select {
 			case <-p.stop:
@@ -199,33 +110,37 @@
 			continue
 		}
 		packet, err := member.Decode(buf[:n])
-		if err != nil || len(packet.Hosts) == 0 {
-			p.tier.Log.Warn().Err(err).Msg("gossip-unreadable")
+		if err != nil {
+			p.tier.Log.Warn().Err(err).Msg("packet-unreadable")
 			continue
 		}
 		p.take(packet)
 	}
 }
 
-// take learns from a packet and answers it if asked to.
+// take learns from a packet and answers it.
 func (p *peers) take(packet member.Packet) {
-	now := p.tier.Clock.Now()
 	p.mu.Lock()
-	changed := p.list.Hear(now, packet.Hosts)
-	var answer []member.Packet
-	if packet.Ask {
-		answer = []member.Packet{p.list.Answer(now, packet.Hosts[0].Gossip)}
-	}
+	answers := p.list.Receive(p.tier.Clock.Now(), packet)
+	sooner := p.next() < p.planned
 	p.mu.Unlock()
-	p.gossip(answer)
+	p.send(answers)
 	if len(packet.Crashes) > 0 {
 		p.tier.post(router.Crashes{List: packet.Crashes})
 	}
 	if len(packet.Leafs) > 0 {
 		p.tier.post(router.HeardOfLeafs{List: packet.Leafs})
 	}
-	if changed {
-		p.report()
+	if sooner {
+		p.wakeUp()
+	}
+}
+
+// wakeUp has the next tick planned anew.
+func (p *peers) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -233,63 +148,116 @@
 	for {
 		p.round()
 		p.report()
-		p.mu.Lock()
-		every := p.list.Every()
-		p.mu.Unlock()
+		timer := time.NewTimer(p.pause())
 		select {
 		case <-p.stop:
+			timer.Stop()
 			return
-		case <-time.After(every.Duration()):
+		case <-p.wake:
+			timer.Stop()
+		case <-timer.C:
 		}
 	}
 }
 
+// crashPeriod is the pause between two rounds in which crash reports are published.
+const crashPeriod clock.Milli = 200
+
 // round sends what is due.
 func (p *peers) round() {
 	p.mu.Lock()
-	packets := p.list.Round(p.tier.Clock.Now())
+	now := p.tier.Clock.Now()
+	packets := p.list.Tick(now)
+	if len(p.crashes) > 0 && now >= p.sharedAt+crashPeriod {
+		p.sharedAt = now
+		packets = append(packets, p.list.Share(now)...)
+	}
 	p.mu.Unlock()
-	p.gossip(packets)
-}
-
-// gossip sends packets that take waiting crash reports along.
-func (p *peers) gossip(packets []member.Packet) {
 	for i := range packets {
-		packets[i].Crashes = p.takeCrashes()
+		// The other kinds go to the same few hosts each time.
+		if packets[i].Kind == member.Publish {
+			packets[i].Crashes = p.takeCrashes()
+		}
 	}
 	p.send(packets)
 }
 
+// pause plans the next round and returns how long nothing is due.
+func (p *peers) pause() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planned = p.next()
+	return max(1, p.planned-p.tier.Clock.Now()).Duration()
+}
+
+// next is when something is due.
+func (p *peers) next() clock.Milli {
+	next := p.list.Next()
+	if len(p.crashes) > 0 {
+		next = min(next, p.sharedAt+crashPeriod)
+	}
+	if p.list.Version() != p.reported {
+		next = min(next, p.reportedAt+reportPause)
+	}
+	return next
+}
+
 func (p *peers) send(packets []member.Packet) {
 	for _, packet := range packets {
 		body, err := member.Encode(packet)
 		if err != nil {
-			p.tier.Log.Error().Err(err).Msg("gossip-not-encoded")
+			p.tier.Log.Error().Err(err).Msg("packet-not-encoded")
 			continue
 		}
-		to, err := net.ResolveUDPAddr("udp4", packet.To)
+		to, err := netip.ParseAddrPort(packet.To)
 		if err != nil {
-			p.tier.Log.Warn().Err(err).Str("peer", packet.To).Msg("gossip-address-unreadable")
+			p.tier.Log.Warn().Err(err).Str("peer", packet.To).Msg("peer-address-unreadable")
 			continue
 		}
-		// A datagram that is not sent is like one that is lost: the next round
-		// tells the same.
-		_, _ = p.conn.WriteToUDP(body, to)
+		// A datagram that is not sent is like one that is lost.
+		_, _ = p.conn.WriteToUDPAddrPort(body, to)
 	}
 }
 
+const (
+	// reportPause is the least time between two reports of the list.
+	reportPause clock.Milli = 100
+	// mostNamedHosts bounds the hosts that a line names.
+	mostNamedHosts = 8
+)
+
 // report passes the list on if it has changed.
 func (p *peers) report() {
 	p.mu.Lock()
-	hosts := p.list.Alive(p.tier.Clock.Now())
+	now := p.tier.Clock.Now()
+	if p.list.Version() == p.reported || now < p.reportedAt+reportPause {
+		p.mu.Unlock()
+		return
+	}
+	p.reported, p.reportedAt = p.list.Version(), now
+	hosts := p.list.Alive()
+	changes, more := p.list.Changes()
+	p.mu.Unlock()
+	p.logChanges(changes, more, len(hosts))
 	list := make([]router.Peer, len(hosts))
 	for i, h := range hosts {
-		list[i] = router.Peer{Address: h.Relay, Domain: h.Domain, Started: h.Started}
+		list[i] = router.Peer{Address: h.Relay, Domain: h.Domain, Capacity: h.Capacity, Started: h.Started}
 	}
-	same := slices.Equal(list, p.last)
-	p.last = list
-	p.mu.Unlock()
-	if !same {
-		p.tell(list)
+	p.tell(list)
+}
+
+// logChanges writes one line for the hosts that have come or gone since the last.
+func (p *peers) logChanges(changes []member.Change, more, known int) {
+	names := map[member.State][]string{}
+	named := changes[:min(len(changes), mostNamedHosts)]
+	for _, c := range named {
+		names[c.State] = append(names[c.State], c.Host.Gossip)
+	}
+	line := p.tier.Log.Info()
+	for state, key := range map[member.State]string{member.Alive: "up", member.Suspect: "up-unsure", member.Dead: "dead", member.Left: "left"} {
+		if len(names[state]) > 0 {
+			line.Strs(key, names[state])
+		}
 	}
+	line.Int("unnamed", len(changes)-len(named)+more).Int("known", known).Msg("hosts-changed")
 }
