router: far shards go to the aggregators of their own failure domain; admission by weak shards

Now shards for another region are handed to an aggregator of each failure domain that has their leaves.

Weak shards (crashed or slow leaves, more callers than usual). Cause (traced): queries of 129 shards got 103 of the 123 they need, all were begun, failed at their target and came again. Slow leaves get one call a host at a time; a query whose shards cannot be in time is refused when it comes, with one lot for all hosts; late queries go behind.

TestEveryLoopIsReached fails before.

--- a/share/hop/pool.go
+++ b/share/hop/pool.go
@@ -306,6 +306,9 @@
 		c.shut()
 	}
 	done := p.classify(r.reply)
+	if forwarded(j.request) {
+		done.Refusal = router.ParseRefusal(r.reply.Header.Get(p.Dialect.NotRun))
+	}
 	if done.Kind == call.Answered && forwarded(j.request) {
 		p.merged(&done)
 	}
--- a/share/loops/loops.go
+++ b/share/loops/loops.go
@@ -13,30 +13,37 @@
 	"github.com/lesismal/nbio"
 )
 
-// ErrUnreached: no connection could be given to some loop.
+// ErrUnreached says that no connection could be given to some loop.
 var ErrUnreached = errors.New("an event loop could not be reached")
 
 // triesPerLoop bounds the connections made until each loop has one.
-const triesPerLoop = 8
+const triesPerLoop = 16
 
 // Loops tells the connections of Await from others. The zero value is ready.
 type Loops struct {
-	mu   sync.Mutex
-	wait map[*nbio.Conn]chan struct{}
+	mu    sync.Mutex
+	marks map[*nbio.Conn]*mark
+}
+
+// mark waits for the first event on one connection.
+type mark struct {
+	once sync.Once
+	done chan struct{}
 }
 
 // Handled is to be called first by an engine's OnRead handler, if it has one; true
 // says that the connection is none of its own.
 func (l *Loops) Handled(c *nbio.Conn) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	done := l.wait[c]
-	if done == nil {
+	m := l.marks[c]
+	l.mu.Unlock()
+	if m == nil {
 		return false
 	}
-	close(done)
-	delete(l.wait, c)
-	_ = c.Close() // it has served its purpose
+	m.once.Do(func() {
+		_, _ = c.Read(make([]byte, 1)) // what woke the loop
+		close(m.done)
+	})
 	return true
 }
 
@@ -44,8 +51,14 @@
 // gives connections to loops by their descriptors.
 func (l *Loops) Await(g *nbio.Engine, loops int) error {
 	reached := map[int]bool{}
+	// All stay open until the end, with more descriptors between them in each round:
+	// the next would otherwise fall to the same loop.
 	var held []int
+	var conns []*nbio.Conn
 	defer func() {
+		for _, c := range conns {
+			_ = c.Close() // it has served its purpose
+		}
 		for _, fd := range held {
 			_ = syscall.Close(fd)
 		}
@@ -59,14 +72,13 @@
 			return errors.Wrap(err, "socket pair")
 		}
 		held = append(held, pair[1])
-		loop, err := l.reach(g, pair[0], pair[1], loops)
+		c, err := l.reach(g, pair[0], pair[1])
 		if err != nil {
 			return err
 		}
-		reached[loop] = true
-		// A spare descriptor now and then keeps the next from falling to the
-		// same loops.
-		if try%2 == 0 {
+		conns = append(conns, c)
+		reached[c.Hash()%loops] = true
+		for range try / loops % loops {
 			if fd, err := syscall.Dup(pair[1]); err == nil {
 				held = append(held, fd)
 			}
@@ -76,33 +88,33 @@
 }
 
 // reach waits until the loop of one connection has handled an event on it.
-func (l *Loops) reach(g *nbio.Engine, fd, peer, loops int) (loop int, err error) {
+func (l *Loops) reach(g *nbio.Engine, fd, peer int) (*nbio.Conn, error) {
 	file := os.NewFile(uintptr(fd), "loop")
 	conn, err := net.FileConn(file)
 	err = errors.CombineErrors(err, file.Close())
 	if err != nil {
-		return 0, errors.Wrap(err, "connection to a loop")
+		return nil, errors.Wrap(err, "connection to a loop")
 	}
 	c, err := nbio.NBConn(conn)
 	if err != nil {
-		return 0, errors.Wrap(err, "connection to a loop")
+		return nil, errors.Wrap(err, "connection to a loop")
 	}
-	done := make(chan struct{})
+	m := &mark{done: make(chan struct{})}
 	l.mu.Lock()
-	if l.wait == nil {
-		l.wait = map[*nbio.Conn]chan struct{}{}
+	if l.marks == nil {
+		l.marks = map[*nbio.Conn]*mark{}
 	}
-	l.wait[c] = done
+	l.marks[c] = m
 	l.mu.Unlock()
 	c.OnData(func(c *nbio.Conn, _ []byte) { l.Handled(c) })
 	if _, err := g.AddConn(c); err != nil {
-		return 0, errors.Wrap(err, "connection to a loop")
+		return nil, errors.Wrap(err, "connection to a loop")
 	}
 	if _, err := syscall.Write(peer, []byte{0}); err != nil {
-		return 0, errors.Wrap(err, "wake a loop")
+		return nil, errors.Wrap(err, "wake a loop")
 	}
-	<-done
-	return c.Hash() % loops, nil
+	<-m.done
+	return c, nil
 }
 
 // Listener tells when its engine's loop has begun to accept connections.
--- /dev/null
+++ b/share/loops/loops_test.go
@@ -0,0 +1,32 @@
+package loops
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/lesismal/nbio"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a loop that gets none of the connections, because the free
+// descriptors leave the same remainder each time.
+func TestEveryLoopIsReached(t *testing.T) {
+	for _, loops := range []int{1, 2, 3, 4} {
+		for _, gap := range []int{0, 1, 2, 3} {
+			t.Run(fmt.Sprintf("%d-loops-%d-held", loops, gap), func(t *testing.T) {
+				for range gap {
+					f, err := os.Open(os.DevNull)
+					assert.NilError(t, err)
+					defer func() { assert.NilError(t, f.Close()) }()
+				}
+				g := nbio.NewEngine(nbio.Config{NPoller: loops})
+				var l Loops
+				g.OnData(func(c *nbio.Conn, _ []byte) { l.Handled(c) })
+				assert.NilError(t, g.Start())
+				assert.NilError(t, l.Await(g, loops))
+				g.Stop()
+			})
+		}
+	}
+}
--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/rank"
 	"dandelionstile/share/route"
 )
 
@@ -32,6 +33,7 @@
 	}
 	q.route = r
 	q.fingerprint = fingerprint(a.Request)
+	q.lot = rank.Fraction(a.Request.ID)
 	if e.crashes.Blocked(now, q.fingerprint) {
 		e.refuse(now, q, Harmful, "leafs went down under it")
 		return
@@ -46,10 +48,18 @@
 		e.service(name)
 		q.shards = append(q.shards, &shard{query: q, service: name})
 	}
-	if cause := e.hopeless(now, q); cause != "" {
+	if cause := e.unreachable(now, q); cause != "" {
 		e.refuse(now, q, NoLeaf, cause)
 		return
 	}
+	here, away := q.shards, []handover(nil)
+	if !a.Forwarded {
+		here, away = e.split(now, q)
+	}
+	if !e.bears(now, q, here) {
+		e.refuse(now, q, NoRoom, "too few shards can answer in time")
+		return
+	}
 	if !e.admit(now, q) {
 		return
 	}
@@ -58,13 +68,8 @@
 		Kind: NoteAdmitted, Request: q.request.ID, Query: q.id, Route: r.Name, Version: q.version, Of: len(q.shards),
 		Wait: a.Wait, Passed: passed, Due: q.target - now, Remote: a.Remote, Forwarded: q.forwarded, Late: q.late,
 	})
-	here := q.shards
-	if !a.Forwarded {
-		var away []handover
-		here, away = e.split(now, q)
-		for _, h := range away {
-			e.forward(now, q, h.peer, h.shards)
-		}
+	for _, h := range away {
+		e.forward(now, q, h.peer, h.shards)
 	}
 	for _, s := range here {
 		// The host that asks the leafs earns the second calls; if both did, two
@@ -217,8 +222,8 @@
 	return known
 }
 
-// hopeless tells why no answer is possible: too few shards have a leaf at all.
-func (e *Engine) hopeless(now clock.Milli, q *query) string {
+// unreachable tells why no answer is possible: too few shards have a leaf at all.
+func (e *Engine) unreachable(now clock.Milli, q *query) string {
 	have := 0
 	for _, s := range q.shards {
 		if e.reachable(now, s) {
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -45,16 +45,18 @@
 	services map[string]*service
 	regions  map[string]*region
 	waits    map[string]*fullWait
-	callers  callers
-	limiter  limit.Limiter
-	crashes  crash.Memory
-	rounds   map[string]*roundRobin
-	queries  map[uint64]*query
-	calls    map[uint64]*attempt
-	lastCall uint64
-	alarms   alarms
-	actions  []Action
-	started  bool
+	// lotteries are by route.
+	lotteries map[string]*lottery
+	callers   callers
+	limiter   limit.Limiter
+	crashes   crash.Memory
+	rounds    map[string]*roundRobin
+	queries   map[uint64]*query
+	calls     map[uint64]*attempt
+	lastCall  uint64
+	alarms    alarms
+	actions   []Action
+	started   bool
 	// startedAt is when the first event came.
 	startedAt clock.Milli
 	// delayedAt is when this host was last seen to have stood still.
@@ -85,6 +87,7 @@
 	e.services = map[string]*service{}
 	e.regions = map[string]*region{}
 	e.waits = map[string]*fullWait{}
+	e.lotteries = map[string]*lottery{}
 	e.rounds = map[string]*roundRobin{}
 	e.queries = map[uint64]*query{}
 	e.calls = map[uint64]*attempt{}
--- a/share/router/finish.go
+++ b/share/router/finish.go
@@ -225,6 +225,9 @@
 	// Consecutive requests are spread evenly, without chance: the golden
 	// ratio's multiples are.
 	spread := clock.Milli(q.id*618%1000) * againSpread / 1000
+	if q.crowded && (why == Failed || why == NoLeaf) {
+		return againRoom + spread
+	}
 	switch why {
 	case NoConfig:
 		if now < e.startedAt+startTime {
--- a/share/router/forward.go
+++ b/share/router/forward.go
@@ -75,6 +75,14 @@
 	switch {
 	case d.Kind == call.Answered && d.Reply.Good():
 		e.merge(now, r, d.Reply)
+	case d.Refusal == NoRoom:
+		// Its leaves are known there better than here.
+		e.failed(now, r, d)
+		q.crowded = true
+		for _, s := range r.shards {
+			s.tries--
+			e.abandon(s, "the other host has no room")
+		}
 	case d.Kind.NotRun():
 		e.failed(now, r, d)
 		for _, s := range r.shards {
--- a/share/router/peer.go
+++ b/share/router/peer.go
@@ -114,12 +114,54 @@
 		if p == nil {
 			break
 		}
-		away = append(away, handover{p, group})
+		away = append(away, e.byDomain(now, q, p, group)...)
 		far = other
 	}
 	return append(here, far...), away
 }
 
+// byDomain hands shards for a region to a host of each failure domain in which they
+// have a leaf, where others than a domain's aggregators do not ask its leaves; the
+// rest goes to one host.
+func (e *Engine) byDomain(now clock.Milli, q *query, p *peer, group []*shard) []handover {
+	domains := map[string][]*shard{}
+	for _, s := range group {
+		domain := e.domainIn(s, p)
+		domains[domain] = append(domains[domain], s)
+	}
+	rest := handover{peer: p, shards: domains[p.Domain]}
+	delete(domains, p.Domain)
+	var list []handover
+	for _, domain := range sorted(domains) {
+		other := e.helperIn(now, q, domain)
+		if other == nil || !e.tieredIn(domain) || len(domains[domain]) < forwardShards {
+			rest.shards = append(rest.shards, domains[domain]...)
+			continue
+		}
+		list = append(list, handover{other, domains[domain]})
+	}
+	if len(rest.shards) > 0 {
+		list = append(list, rest)
+	}
+	return list
+}
+
+// domainIn is the failure domain of a shard's trusted leaf in a host's region, the
+// host's own one first.
+func (e *Engine) domainIn(s *shard, p *peer) string {
+	found := p.Domain
+	for _, f := range e.services[s.service].leafs {
+		if f.region != p.region || f.unhealthy || !e.usable(f, s) {
+			continue
+		}
+		if f.Domain == p.Domain {
+			return f.Domain
+		}
+		found = f.Domain
+	}
+	return found
+}
+
 // handover is shards for another host.
 type handover struct {
 	peer   *peer
@@ -252,6 +294,10 @@
 // judge learns from the end of forwarded shards.
 func (e *Engine) judge(now clock.Milli, r *forward, d Done) {
 	p := r.peer
+	if d.Refusal == NoRoom {
+		p.pause = 0 // its leaves have no room; the host is well
+		return
+	}
 	if d.Kind == call.Answered {
 		p.pause = 0
 		way := float64(now - r.sent - d.Worked)
--- a/share/router/query.go
+++ b/share/router/query.go
@@ -15,9 +15,11 @@
 	// answered it well.
 	fingerprint uint64
 	well        bool
-	route       *route.Route
-	version     uint64
-	arrived     clock.Milli
+	// lot orders queries of one rank alike on all hosts.
+	lot     float64
+	route   *route.Route
+	version uint64
+	arrived clock.Milli
 	// target is when an answer must leave to have its full worth; end is when
 	// the caller is told that there is none.
 	target, end clock.Milli
@@ -36,6 +38,8 @@
 	// ran is set once a leaf may have begun to work.
 	ran  bool
 	over bool
+	// crowded is set once another host had no room for a part of the query.
+	crowded bool
 	// forwarded queries are parts of another host's query; an answer with any
 	// of the shards is of use to it.
 	forwarded bool
--- a/share/router/replica.go
+++ b/share/router/replica.go
@@ -42,7 +42,7 @@
 			c.unhealthy = true
 			continue
 		}
-		if len(f.out) >= room(f, s.query) {
+		if len(f.out) >= e.room(now, f, s.query) {
 			c.full = true
 			continue
 		}
@@ -70,11 +70,14 @@
 
 // room is how many calls this host has at most at a leaf once a query has added
 // one.
-func room(f *leaf, q *query) int {
-	if q.late {
+func (e *Engine) room(now clock.Milli, f *leaf, q *query) int {
+	switch {
+	case !e.slow(now, f, q) && q.late:
 		return min(f.limit, lateRoom)
+	case !e.slow(now, f, q):
+		return f.limit
 	}
-	return f.limit
+	return min(f.limit, slowRoom)
 }
 
 // usable tells whether a leaf may get a shard's request at all.
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -6,6 +6,8 @@
 package router
 
 import (
+	"slices"
+
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
 	"dandelionstile/share/roster"
@@ -46,6 +48,8 @@
 	Reply *call.Reply
 	// Cause explains a call without a reply.
 	Cause string
+	// Refusal is why another host has refused forwarded shards.
+	Refusal Refusal
 	// Worked is how long the other host of a forwarded request took, without
 	// the way there and back.
 	Worked clock.Milli
@@ -197,6 +201,11 @@
 // String names the reason as logs and metrics do.
 func (r Refusal) String() string { return refusalNames[r] }
 
+// ParseRefusal reads a reason by its name; None for names that are not known.
+func ParseRefusal(name string) Refusal {
+	return Refusal(max(0, slices.Index(refusalNames[:], name)))
+}
+
 // Ended tells of the end of a call to a leaf, for the counters.
 type Ended struct {
 	Service string
--- a/share/router/world_test.go
+++ b/share/router/world_test.go
@@ -259,7 +259,7 @@
 		other.arrive(arrive, func(ans Answer) {
 			d := Done{Call: a.Call, Kind: call.Answered, Worked: w.now - came}
 			if ans.Merged == nil {
-				d = Done{Call: a.Call, Kind: call.Shed}
+				d = Done{Call: a.Call, Kind: call.Shed, Refusal: ans.Refusal}
 			} else {
 				d.Reply = &call.Reply{Status: 200, Stamp: "x", Missing: ans.Merged.Missing}
 			}
@@ -302,6 +302,8 @@
 	paused clock.Milli
 	// slow is by how much all work takes longer; 0 is not at all.
 	slow float64
+	// down leaves accept no connection.
+	down bool
 }
 
 const (
@@ -328,6 +330,8 @@
 	}
 	switch {
 	case j.over:
+	case l.down:
+		l.reply(j, Done{Call: j.call, Kind: call.NotSent, Cause: "refused"})
 	case l.busy < l.Slots:
 		l.begin(j)
 	case len(l.line) < simQueue:
