mirror: most hosts ask a second host before the store; member: digests follow the number of hosts

Now from the fifth host of a region on, the next host in order is asked before the store; that host's first read of the store does not wait for a change. Ruled out: more patience (tight bounds). TestFewReadTheStoreInTheReadersPlace: 12 of 12 hosts read the store before, at most 4 after.

At 5,600 hosts that all start at once, lists of 64 hashes differ in every part, and each comparison brings mostly what is known: 5,351 of 5,599 known after 30 s. Now one hash for each eight hosts, 256 at most.

--- a/share/member/share.go
+++ b/share/member/share.go
@@ -35,6 +35,9 @@
 	syncAgain              = clock.Second
 	syncFirst  clock.Milli = 150
 	firstSyncs             = 12
+	// learnedMany is how many hosts one comparison must bring for the next to
+	// come at once.
+	learnedMany = 8
 	// seedEvery is each how many comparisons a seed is asked: it joins parts of
 	// the system that have lost each other.
 	seedEvery = 4
@@ -43,8 +46,10 @@
 	// hosts, whom they can ask in turn. Seeds are asked by all that start.
 	syncMost    = 12 * perPacket
 	syncsServed = 40
-	// buckets is how many parts of the list have a hash of their own.
-	buckets = 64
+	// buckets is how many parts of the list have a hash of their own at most, a
+	// power of two. A digest has one for each perBucket hosts or so.
+	buckets   = 256
+	perBucket = 8
 )
 
 // publish sends an update along with the next packets.
@@ -117,7 +122,7 @@
 	l.syncs++
 	l.syncedAt = now
 	switch {
-	case l.syncs <= firstSyncs || l.learned >= perPacket:
+	case l.syncs <= firstSyncs || l.learned >= learnedMany:
 		l.syncAt = now + syncFirst
 	case l.learned > 0:
 		l.syncAt = now + syncAgain
@@ -125,11 +130,12 @@
 		l.syncAt = now + syncEvery
 	}
 	l.learned = 0
-	digest := l.whole()
+	whole := l.whole()
+	digest := fold(whole[:], l.digestSize())
 	var packets []Packet
 	send := func(to string) {
 		if to != l.Self.Gossip {
-			packets = append(packets, l.packet(to, Packet{Kind: Sync, Digest: digest[:]}))
+			packets = append(packets, l.packet(to, Packet{Kind: Sync, Digest: digest}))
 		}
 	}
 	if len(l.Seeds) > 0 && (len(l.ring) == 0 || l.syncs%seedEvery == 1) {
@@ -149,14 +155,16 @@
 // differing answers a digest with the hosts of buckets that differ, and those
 // that are gone, of which the other may not know.
 func (l *List) differing(now clock.Milli, to string, digest []uint32) []Packet {
-	if len(digest) != buckets {
+	size := len(digest)
+	if size == 0 || size > buckets || size&(size-1) != 0 {
 		return nil
 	}
 	most := l.syncRoom(now)
-	own := l.whole()
-	differs := [buckets]bool{}
-	for i := range buckets {
-		differs[i] = own[i] != digest[i]
+	whole := l.whole()
+	own := fold(whole[:], size)
+	differs := func(e *entry) bool {
+		i := e.hash % uint64(size)
+		return own[i] != digest[i]
 	}
 	var list []Update
 	// From a place drawn anew, so that a long list is answered in full by
@@ -166,12 +174,12 @@
 		first = l.rand.IntN(len(l.ring))
 	}
 	for i := range l.ring {
-		if e := l.ring[(first+i)%len(l.ring)]; differs[e.bucket()] && len(list) < most {
+		if e := l.ring[(first+i)%len(l.ring)]; differs(e) && len(list) < most {
 			list = append(list, e.Update)
 		}
 	}
 	for i := len(l.gone) - 1; i >= 0 && len(list) < most; i-- {
-		if e := l.gone[i]; differs[e.bucket()] {
+		if e := l.gone[i]; differs(e) {
 			list = append(list, e.Update)
 		}
 	}
@@ -195,6 +203,20 @@
 	return syncMost
 }
 
+// digestSize is the length of a digest, for the number of hosts known.
+func (l *List) digestSize() int {
+	return min(buckets, 1<<bits.Len(uint(len(l.ring)/perBucket)))
+}
+
+// fold shortens a digest to a size that is a power of two.
+func fold(digest []uint32, size int) []uint32 {
+	folded := make([]uint32, size)
+	for i, part := range digest {
+		folded[i%size] ^= part
+	}
+	return folded
+}
+
 // whole is the digest of all hosts, this one included.
 func (l *List) whole() [buckets]uint32 {
 	digest := l.digest
--- a/share/mirror/choose.go
+++ b/share/mirror/choose.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 
@@ -18,6 +19,11 @@
 // others fall back on the store by themselves, so that one is enough.
 const readers = 1
 
+// fallbacks is how many hosts of a region read the store as soon as what the reader
+// has is too old. The others ask the first of these before: in a large region all
+// would else read the store at once, each time it turns a reader away.
+const fallbacks = 4
+
 // chooser decides which source to read next: the store, or a host that does.
 type chooser struct {
 	self  Peer
@@ -40,8 +46,9 @@
 )
 
 // sources lists where to read, best first: a reader reads the store; the
-// others the readers of their region; all of them, then, the store, and last
-// any other host, which may reach the store when this one does not.
+// others the readers of their region, and most of them the next host that reads
+// the store; all of them, then, the store, and last any other host, which may
+// reach the store when this one does not.
 func (c *chooser) sources() []string {
 	region := c.ranked(func(p Peer) bool { return p.Region == c.self.Region })
 	var list []string
@@ -55,14 +62,16 @@
 		}
 		list = append(list, p.Address)
 	}
+	if own := slices.IndexFunc(region, func(p Peer) bool { return p.Address == c.self.Address }); own >= fallbacks {
+		list = append(list, region[readers].Address)
+	}
 	if len(list) == 0 || list[len(list)-1] != theStore {
 		list = append(list, theStore)
 	}
 	for _, p := range c.ranked(func(p Peer) bool { return p.Address != c.self.Address }) {
-		if len(list) > 0 && list[0] == p.Address {
-			continue
+		if !slices.Contains(list, p.Address) {
+			list = append(list, p.Address)
 		}
-		list = append(list, p.Address)
 	}
 	return list
 }
--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -48,6 +48,8 @@
 	turnEvery clock.Milli = 100
 	// lostAfter is after how long without fresh news the sink is told.
 	lostAfter clock.Milli = 1500
+	// briefWait asks the store for what it has now.
+	briefWait clock.Milli = 1
 	// slack is what a page may be older than the longest wait of a reader.
 	slack clock.Milli = 500
 )
@@ -186,8 +188,9 @@
 // due by the clock. Left to the end of a read, an entry that was to be taken as
 // gone was kept for another second by a source that had just fallen silent.
 func (f *Follower) read() (Page, error) {
+	wait := f.wait()
 	if !f.Sink.Expecting() {
-		return f.reading.Read(f.after, f.Wait)
+		return f.reading.Read(f.after, wait)
 	}
 	type result struct {
 		page Page
@@ -195,7 +198,7 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		page, err := f.reading.Read(f.after, f.Wait)
+		page, err := f.reading.Read(f.after, wait)
 		done <- result{page, err}
 	}()
 	turns := time.NewTicker(turnEvery.Duration())
@@ -210,6 +213,15 @@
 	}
 }
 
+// wait is how long the next read waits for a change. The first read of the store
+// after its news have become old does not: others wait for the answer.
+func (f *Follower) wait() clock.Milli {
+	if f.source == theStore && f.Clock.Now()-f.freshAt > f.Wait {
+		return briefWait
+	}
+	return f.Wait
+}
+
 // takeOld takes what is new here from a host that has itself not heard from the
 // store of late. A host that starts while the store is down would otherwise turn
 // its callers away until the store is back, for want of any routes. The news
--- a/share/mirror/mirror_test.go
+++ b/share/mirror/mirror_test.go
@@ -378,3 +378,50 @@
 	h := regionMeeting(t, store, 1, func(f *Follower) { f.Meet, f.Settle = 100, 50 })[0]
 	poll.WaitOn(t, h.sink.has(1), poll.WithTimeout(5*time.Second))
 }
+
+// refusing is one host's way to the store, which may turn it away.
+type refusing struct {
+	*scripted
+	refuses atomic.Bool
+	read    atomic.Int64
+}
+
+func (r *refusing) Read(after int64, wait clock.Milli) (Page, error) {
+	r.read.Add(1)
+	if r.refuses.Load() {
+		return Page{}, errors.New("turned away")
+	}
+	return r.scripted.Read(after, wait)
+}
+
+// Guards against a large region whose hosts all read the store when it turns away
+// the one that reads for them.
+func TestFewReadTheStoreInTheReadersPlace(t *testing.T) {
+	store := &scripted{revision: 1}
+	var ways []*refusing
+	hosts := regionMeeting(t, store, 12, func(f *Follower) {
+		way := &refusing{scripted: store}
+		ways = append(ways, way)
+		f.Store, f.Meet, f.Settle = way, 2*clock.Second, 300
+	})
+	for _, h := range hosts {
+		poll.WaitOn(t, h.sink.has(1), poll.WithTimeout(5*time.Second))
+	}
+	for i, h := range hosts {
+		ways[i].read.Store(0)
+		ways[i].refuses.Store(h.reads())
+	}
+	time.Sleep(2 * time.Second) // several times a follower's patience
+	store.set(2, false)
+	for _, h := range hosts {
+		poll.WaitOn(t, h.sink.has(2), poll.WithTimeout(3*time.Second))
+	}
+	reading := 0
+	for _, w := range ways {
+		if w.read.Load() > 0 {
+			reading++
+		}
+	}
+	const most = 4
+	assert.Assert(t, reading <= most, "%d hosts have read the store", reading)
+}
