router: one line for many leaves that come or go

At most eight a second and host now, the rest in one line with their number (TestManyLeavesAreToldOfInOneLine: 258 and 258 lines before, one each after).

--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"strings"
 
 	"dandelionstile/share/budget"
 	"dandelionstile/share/clock"
@@ -55,8 +56,11 @@
 	calls     map[uint64]*attempt
 	lastCall  uint64
 	alarms    alarms
-	actions   []Action
-	started   bool
+	// namedAt and named count the lines on leaves that have come or gone.
+	namedAt clock.Milli
+	named   int
+	actions []Action
+	started bool
 	// startedAt is when the first event came.
 	startedAt clock.Milli
 	// delayedAt is when this host was last seen to have stood still.
@@ -266,39 +270,67 @@
 	// A host that has just started learns of all leafs at once: one line counts
 	// them, so that the log does not open with a line for each.
 	first := len(e.leafs) == 0 && len(list) > 0
+	var came, went []*leaf
 	for _, l := range list {
 		listed[l.ID] = true
-		e.entry(now, l, !first)
+		if e.entry(now, l) {
+			came = append(came, e.leafs[l.ID])
+		}
 	}
 	if first {
 		e.do(Note{Kind: NoteLeafsKnown, Of: len(list)})
+		came = nil
 	}
 	for id, f := range e.leafs {
 		if !listed[id] {
 			e.remove(f)
+			went = append(went, f)
 		}
 	}
+	e.nameLeaves(now, came, NoteLeafNew, NoteLeafsNew)
+	e.nameLeaves(now, went, NoteLeafGone, NoteLeafsGone)
 }
 
-// entry takes over what is listed of one leaf, and tells of a new one if that is
-// news.
-func (e *Engine) entry(now clock.Milli, l roster.Leaf, news bool) {
+// mostNamedLeaves bounds the lines on leaves that have come or gone in a second:
+// when an index is cut anew, hundreds do on every host.
+const mostNamedLeaves = 8
+
+// nameLeaves tells of leaves that have come or gone, each in a line of its own or
+// all in one.
+func (e *Engine) nameLeaves(now clock.Milli, list []*leaf, each, all NoteKind) {
+	if now >= e.namedAt+clock.Second {
+		e.namedAt, e.named = now, 0
+	}
+	if e.named+len(list) > mostNamedLeaves {
+		names := make([]string, 0, mostNamedLeaves)
+		for _, f := range list[:min(len(list), mostNamedLeaves)] {
+			names = append(names, f.ID)
+		}
+		e.do(Note{Kind: all, Of: len(list), Cause: strings.Join(names, " ")})
+		return
+	}
+	e.named += len(list)
+	for _, f := range list {
+		e.do(Note{Kind: each, Leaf: f.ID, Service: f.Service, Cause: f.Domain})
+	}
+}
+
+// entry takes over what is listed of one leaf, and says whether it is new.
+func (e *Engine) entry(now clock.Milli, l roster.Leaf) bool {
 	f := e.leafs[l.ID]
 	if f != nil && f.Leaf == l {
-		return
+		return false
 	}
 	same := f != nil && f.Born == l.Born && f.Address == l.Address && f.Service == l.Service
 	if !same {
 		if f != nil {
 			e.remove(f)
+			e.do(Note{Kind: NoteLeafGone, Leaf: f.ID, Service: f.Service, Cause: "another has its name"})
 		}
 		f = &leaf{pace: pace.Pace{Phase: rank.Fraction(e.Self.Host, l.ID)}}
 		e.leafs[l.ID] = f
 		s := e.service(l.Service)
 		s.leafs = append(s.leafs, f)
-		if news {
-			e.do(Note{Kind: NoteLeafNew, Leaf: l.ID, Service: l.Service, Cause: l.Domain})
-		}
 	}
 	if l.Draining && !f.Draining {
 		e.do(Note{Kind: NoteLeafDrains, Leaf: l.ID, Service: l.Service})
@@ -308,6 +340,7 @@
 	if l.Cold > 0 {
 		f.coldUntil = now + l.Cold
 	}
+	return !same
 }
 
 func (e *Engine) remove(f *leaf) {
@@ -320,7 +353,6 @@
 			break
 		}
 	}
-	e.do(Note{Kind: NoteLeafGone, Leaf: f.ID, Service: f.Service})
 }
 
 // alarm is a time at which a query or a call has to be looked at.
--- /dev/null
+++ b/share/router/names_test.go
@@ -0,0 +1,45 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionstile/share/roster"
+)
+
+// Guards against a log of a line for each leaf and host when an index is cut anew.
+func TestManyLeavesAreToldOfInOneLine(t *testing.T) {
+	r := newRig(t)
+	first := []roster.Leaf{leafOf("s0", "s0-near", here)}
+	r.handle(Facts{Table: table(1, merged(1)), Leafs: first})
+	count := func(kind NoteKind) (lines, leaves int) {
+		for _, n := range r.notes {
+			if n.Kind == kind {
+				lines++
+				leaves += n.Of
+			}
+		}
+		return lines, leaves
+	}
+	few := append(slices.Clone(first), leafOf("s1", "a", here), leafOf("s2", "b", here))
+	r.handle(Facts{Leafs: few})
+	lines, _ := count(NoteLeafNew)
+	assert.Equal(t, lines, 2)
+	many := slices.Clone(few)
+	for i := range 258 {
+		many = append(many, leafOf("s3", fmt.Sprintf("i-%d", i), here))
+	}
+	r.handle(Facts{Leafs: many})
+	r.handle(Facts{Leafs: few})
+	lines, _ = count(NoteLeafNew)
+	assert.Equal(t, lines, 2)
+	lines, leaves := count(NoteLeafsNew)
+	assert.Equal(t, lines, 1)
+	assert.Equal(t, leaves, 258)
+	lines, leaves = count(NoteLeafsGone)
+	assert.Equal(t, lines, 1)
+	assert.Equal(t, leaves, 258)
+}
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -287,13 +287,15 @@
 	NoteLimitLifted
 	NoteLeafHeard
 	NoteLeafsKnown
+	NoteLeafsNew
+	NoteLeafsGone
 )
 
 var noteNames = [...]string{
 	"admitted", "answered", "answered-in-part", "refused", "caller-gone", "hedged", "retried",
 	"second-call-withheld", "forwarded", "forward-failed", "leaf-unhealthy", "leaf-healthy", "leaf-new", "leaf-drains", "leaf-gone",
 	"routes-in-force", "domain-out", "domain-back", "peer-unhealthy", "peers", "leaf-crashed",
-	"limit-set", "limit-lifted", "leaf-heard", "leafs-known",
+	"limit-set", "limit-lifted", "leaf-heard", "leafs-known", "leaves-new", "leaves-gone",
 }
 
 // String names the kind as logs and metrics do.
