--- a/share/member/member_test.go
+++ b/share/member/member_test.go
@@ -33,7 +33,9 @@
 		{1000, 0},
 		{1000, 0.02},
 		{1000, 0.1},
-		{5600, 0}, {5600, 0.02}, {5600, 0.1},
+		{5600, 0},
+		{5600, 0.02},
+		{5600, 0.1},
 	} {
 		if one.hosts > 1000 && !*full {
 			continue
