router, member: hosts that are suspected get no shards

Cause: a host that stands still was found out by each other host with a query of its own, which was 0.46 s late; with a few aggregators all queries go to them. The list of hosts tells within two seconds whom others have found silent. TestSuspectedHostGetsNoShards fails before.

--- a/share/member/member.go
+++ b/share/member/member.go
@@ -201,7 +201,13 @@
 	return list
 }
 
-// Version counts the changes of Alive.
+// Suspected tells whether a host that counts as up does not answer.
+func (l *List) Suspected(gossip string) bool {
+	e := l.known[gossip]
+	return e != nil && e.State == Suspect
+}
+
+// Version counts the changes of Alive and Suspected.
 func (l *List) Version() uint64 { return l.version }
 
 // Changes returns the hosts that have come or gone since the last call, and how
@@ -273,6 +279,8 @@
 	}
 	if former.up() != e.up() || former.Host.Started != e.Host.Started || former.Host.Relay != e.Host.Relay {
 		l.changed(e)
+	} else if former.State != e.State {
+		l.version++
 	}
 }
 
--- a/share/member/member_test.go
+++ b/share/member/member_test.go
@@ -207,7 +207,9 @@
 	w := newTown(t, 30, 0)
 	w.run(10 * clock.Second)
 	r, by := w.byName[name(7)], w.byName[name(8)]
+	version := by.list.Version()
 	w.send(t, by.list.suspect(w.now.Now(), by.list.known[name(7)]))
+	assert.Assert(t, by.list.Suspected(name(7)) && by.list.Version() > version)
 	w.schedule(t, by)
 	w.run(1500)
 	assert.Equal(t, r.list.Self.Incarnation, uint64(1))
--- a/share/router/forward_test.go
+++ b/share/router/forward_test.go
@@ -191,3 +191,24 @@
 	assert.Assert(t, r.answers[q].Merged != nil, "%v", r.answers[q])
 	assert.Equal(t, len(r.answers[q].Merged.Missing), 1)
 }
+
+// Guards against shards that are handed to a host which has stopped answering: each
+// of many hosts would find out by a query of its own that is late.
+func TestSuspectedHostGetsNoShards(t *testing.T) {
+	r := newRig(t)
+	var far []roster.Leaf
+	for i := range 4 {
+		s := fmt.Sprintf("s%d", i)
+		far = append(far, leafOf(s, s+"-far", there))
+	}
+	r.handle(Facts{Table: table(1, merged(4)), Leafs: far})
+	other := "10.0.2.8:1"
+	r.handle(Peers{List: []Peer{{Address: helperAddress, Domain: there, Started: 1, Suspected: true}, {Address: other, Domain: there, Started: 1}}})
+	for range 3 {
+		r.arrive("/all/x", 1500)
+	}
+	for _, f := range r.forwards {
+		assert.Equal(t, f.Address, other)
+	}
+	assert.Equal(t, len(r.forwards), 3)
+}
--- a/share/router/peer.go
+++ b/share/router/peer.go
@@ -65,7 +65,9 @@
 		e.hosts, e.claims = hosts, claims
 		e.share(now)
 	}
-	e.do(Note{Kind: NotePeers, Got: len(list), Of: hosts})
+	if len(known) != len(list) {
+		e.do(Note{Kind: NotePeers, Got: len(list), Of: hosts})
+	}
 }
 
 // warm opens connections ahead to the hosts that are used first.
@@ -211,7 +213,7 @@
 	var cost float64
 	seen := 0
 	for _, p := range e.near[domain] {
-		if now < p.until || e.overdueForward(now, p) || q.target-now < clock.Milli(e.trip(p))+forwardLeast {
+		if p.Suspected || now < p.until || e.overdueForward(now, p) || q.target-now < clock.Milli(e.trip(p))+forwardLeast {
 			continue
 		}
 		c := e.trip(p) + float64(len(p.out))*forwardLoad
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -77,6 +77,8 @@
 	// it is not known.
 	Capacity uint32
 	Started  uint64
+	// Suspected hosts have not answered others of late.
+	Suspected bool
 }
 
 // Probed is what a leaf said of its health.
--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -236,12 +236,16 @@
 	}
 	p.reported, p.reportedAt = p.list.Version(), now
 	hosts := p.list.Alive()
-	changes, more := p.list.Changes()
-	p.mu.Unlock()
-	p.logChanges(changes, more, len(hosts))
 	list := make([]router.Peer, len(hosts))
 	for i, h := range hosts {
-		list[i] = router.Peer{Address: h.Relay, Domain: h.Domain, Capacity: h.Capacity, Started: h.Started}
+		list[i] = router.Peer{
+			Address: h.Relay, Domain: h.Domain, Capacity: h.Capacity, Started: h.Started, Suspected: p.list.Suspected(h.Gossip),
+		}
+	}
+	changes, more := p.list.Changes()
+	p.mu.Unlock()
+	if len(changes) > 0 {
+		p.logChanges(changes, more, len(hosts))
 	}
 	p.tell(list)
 }
