--- a/share/router/overload.go
+++ b/share/router/overload.go
@@ -70,6 +70,10 @@
 // counts as slow: two such calls one after the other would be too late.
 const slowShare = 0.4
 
+// idleTrust is how long after its last call a slow leaf without calls is taken to be
+// as fast as others.
+const idleTrust clock.Milli = 200
+
 // slowRoom is how many calls of this host a slow leaf gets at a time.
 const slowRoom = 1
 
@@ -98,6 +102,10 @@
 			continue
 		}
 		took := f.expected(now, e.usual(f)) + f.overdue(now)
+		if len(f.out) == 0 && now > f.calledAt+idleTrust {
+			// Nothing else would show that it is well again.
+			took = min(took, e.usual(f))
+		}
 		if len(f.out) >= places {
 			took += took * float64(1+ahead) / float64(places)
 		}
--- a/share/router/policy.go
+++ b/share/router/policy.go
@@ -41,7 +41,7 @@
 	defaultHosts = 6
 	// defaultAggregators are few, so that each knows the leaves well, and more
 	// than one, so that queries can go round one that is busy or gone.
-	defaultAggregators = 3
+	defaultAggregators = 4
 	// defaultPatience: a request that found no leaf within a quarter of its
 	// target has little left to be answered in, and its caller is better sent
 	// away while it can still come back in time.
