--- a/share/member/town_test.go
+++ b/share/member/fleet_test.go
@@ -10,12 +10,12 @@
 	"dandelionstile/share/clock"
 )
 
-// town is a number of hosts under a virtual clock, whose packets may be lost.
-type town struct {
+// fleet is a number of hosts under a virtual clock, whose packets may be lost.
+type fleet struct {
 	now    clock.Virtual
 	rand   *rand.Rand
-	hosts  []*resident
-	byName map[string]*resident
+	hosts  []*simHost
+	byName map[string]*simHost
 	loss   float64
 	cut    func(from, to string) bool
 	// packets and bytes were sent since the last reset.
@@ -24,8 +24,8 @@
 	sized int
 }
 
-// resident is one host. A stopped one neither sends nor reads.
-type resident struct {
+// simHost is one host. A stopped one neither sends nor reads.
+type simHost struct {
 	list    *List
 	stopped bool
 	dead    bool
@@ -35,9 +35,9 @@
 
 const domains = 6
 
-func newTown(t *testing.T, n int, loss float64) *town {
+func newFleet(t *testing.T, n int, loss float64) *fleet {
 	t.Helper()
-	w := &town{rand: rand.New(rand.NewPCG(uint64(n), 7)), byName: map[string]*resident{}, loss: loss, sized: 1}
+	w := &fleet{rand: rand.New(rand.NewPCG(uint64(n), 7)), byName: map[string]*simHost{}, loss: loss, sized: 1}
 	if n > 1000 {
 		w.sized = 32
 	}
@@ -51,8 +51,8 @@
 func name(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200) }
 
 // start runs a host from now on, in place of one at the same address.
-func (w *town) start(t *testing.T, host string, seeds []string, started uint64) *resident {
-	r := &resident{list: &List{Seeds: seeds, Self: Host{
+func (w *fleet) start(t *testing.T, host string, seeds []string, started uint64) *simHost {
+	r := &simHost{list: &List{Seeds: seeds, Self: Host{
 		Gossip: host, Relay: host, Domain: fmt.Sprintf("d%d", len(w.hosts)%domains), Started: started,
 	}}}
 	if former := w.byName[host]; former != nil {
@@ -65,7 +65,7 @@
 	return r
 }
 
-func (w *town) tick(t *testing.T, r *resident) {
+func (w *fleet) tick(t *testing.T, r *simHost) {
 	if r.dead || r.stopped {
 		return
 	}
@@ -74,7 +74,7 @@
 }
 
 // schedule ticks a host when it is due.
-func (w *town) schedule(t *testing.T, r *resident) {
+func (w *fleet) schedule(t *testing.T, r *simHost) {
 	at := max(r.list.Next(), w.now.Now()+1)
 	if r.due > w.now.Now() && r.due <= at {
 		return
@@ -87,7 +87,7 @@
 	})
 }
 
-func (w *town) send(t *testing.T, packets []Packet) {
+func (w *fleet) send(t *testing.T, packets []Packet) {
 	for _, p := range packets {
 		if w.packets++; w.packets%w.sized == 0 {
 			body, err := Encode(p)
@@ -102,7 +102,7 @@
 	}
 }
 
-func (w *town) deliver(t *testing.T, p Packet) {
+func (w *fleet) deliver(t *testing.T, p Packet) {
 	r := w.byName[p.To]
 	switch {
 	case r == nil || r.dead:
@@ -115,7 +115,7 @@
 }
 
 // stop holds a host for a span; what it was sent waits.
-func (w *town) stop(t *testing.T, r *resident, span clock.Milli) {
+func (w *fleet) stop(t *testing.T, r *simHost, span clock.Milli) {
 	r.stopped = true
 	w.now.After(span, func() {
 		r.stopped = false
@@ -127,11 +127,11 @@
 	})
 }
 
-func (w *town) run(span clock.Milli) { w.now.Run(w.now.Now() + span) }
+func (w *fleet) run(span clock.Milli) { w.now.Run(w.now.Now() + span) }
 
 // running lists the hosts that are there.
-func (w *town) running() []*resident {
-	var list []*resident
+func (w *fleet) running() []*simHost {
+	var list []*simHost
 	for _, r := range w.hosts {
 		if !r.dead {
 			list = append(list, r)
@@ -141,7 +141,7 @@
 }
 
 // fewest is the least number of others that any host counts on.
-func (w *town) fewest() int {
+func (w *fleet) fewest() int {
 	least := len(w.hosts)
 	for _, r := range w.running() {
 		least = min(least, len(r.list.ring))
@@ -150,7 +150,7 @@
 }
 
 // counted is how many pairs there are of a host and another that it counts on.
-func (w *town) counted() int {
+func (w *fleet) counted() int {
 	n := 0
 	for _, r := range w.running() {
 		n += len(r.list.ring)
--- a/share/member/share.go
+++ b/share/member/gossip.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	// sharePeriod is the pause between two rounds in which updates are
+	// gossipPeriod is the pause between two rounds in which updates are
 	// published, while there are any.
-	sharePeriod clock.Milli = 200
-	// shareNear and shareAny are how many hosts are told a round, of the own
+	gossipPeriod clock.Milli = 200
+	// gossipNear and gossipAny are how many hosts are told a round, of the own
 	// failure domain and of all: bytes between domains are billed.
-	shareNear = 2
-	shareAny  = 1
+	gossipNear = 2
+	gossipAny  = 1
 	// perPacket is how many updates a packet takes, about 1 KB.
 	perPacket = 32
 	// sendsMore is how often a host sends an update beyond the binary digits of
@@ -63,8 +63,8 @@
 
 func (l *List) publishSelf() { l.publish(&l.self) }
 
-// due takes updates for one packet, in turn.
-func (l *List) due(room int) []Update {
+// takeUpdates takes updates for one packet, in turn.
+func (l *List) takeUpdates(room int) []Update {
 	n := min(room, len(l.queue))
 	if n <= 0 {
 		return nil
@@ -87,15 +87,15 @@
 func (l *List) packet(to string, p Packet) Packet {
 	p.To = to
 	p.Sender = l.self.Update
-	p.Updates = append(p.Updates, l.due(perPacket-len(p.Updates))...)
+	p.Updates = append(p.Updates, l.takeUpdates(perPacket-len(p.Updates))...)
 	return p
 }
 
-// Share returns packets for a few random hosts, with updates if there are any.
-func (l *List) Share(now clock.Milli) []Packet {
+// Gossip returns packets for a few random hosts, with updates if there are any.
+func (l *List) Gossip(now clock.Milli) []Packet {
 	l.start(now)
 	var packets []Packet
-	for _, e := range append(l.sample(l.near, shareNear, nil), l.sample(l.ring, shareAny, nil)...) {
+	for _, e := range append(l.sample(l.near, gossipNear, nil), l.sample(l.ring, gossipAny, nil)...) {
 		packets = append(packets, l.packet(e.Host.Gossip, Packet{Kind: Publish}))
 	}
 	return packets
--- a/share/member/member.go
+++ b/share/member/member.go
@@ -147,7 +147,7 @@
 	suspects []*entry
 	dueAt    clock.Milli
 	probeAt  clock.Milli
-	shareAt  clock.Milli
+	gossipAt clock.Milli
 	syncAt   clock.Milli
 	syncedAt clock.Milli
 	// syncWith is a host whose list differs.
@@ -218,8 +218,8 @@
 	return list, more
 }
 
-// hear takes an update from another host and says whether it was news.
-func (l *List) hear(now clock.Milli, u Update) bool {
+// apply takes an update from another host and says whether it was news.
+func (l *List) apply(now clock.Milli, u Update) bool {
 	switch u.Host.Gossip {
 	case "":
 		return false
@@ -254,9 +254,9 @@
 	return true
 }
 
-// learn takes an update and publishes it if it was news.
-func (l *List) learn(now clock.Milli, u Update) {
-	if l.hear(now, u) {
+// spread takes an update and publishes it if it was news.
+func (l *List) spread(now clock.Milli, u Update) {
+	if l.apply(now, u) {
 		l.publish(l.known[u.Host.Gossip])
 	}
 }
--- a/share/member/member_test.go
+++ b/share/member/member_test.go
@@ -50,7 +50,7 @@
 // holds plays a fleet from its start, through a calm time, stopped hosts, dead
 // ones and a fresh one.
 func holds(t *testing.T, n int, loss float64) {
-	w := newTown(t, n, loss)
+	w := newFleet(t, n, loss)
 	w.run(14 * clock.Second)
 	t.Logf("after the start: %d of %d", w.fewest(), n-1)
 	if n > 1000 {
@@ -67,7 +67,7 @@
 	assert.Assert(t, packets < mostPackets && bytes < mostBytes)
 	assert.Assert(t, dropped <= n*n/1000, "living hosts dropped: %d pairs", dropped)
 
-	stopped := map[*resident]bool{}
+	stopped := map[*simHost]bool{}
 	for i := 1; i <= n/10; i++ {
 		r := w.hosts[i*10-3]
 		stopped[r] = true
@@ -95,9 +95,9 @@
 	assert.Assert(t, len(fresh.list.ring) >= left, "a fresh host knows %d of %d", len(fresh.list.ring), left)
 }
 
-// watch runs the town and returns the most pairs of a host and a living other
+// watch runs the fleet and returns the most pairs of a host and a living other
 // that it does not count on, at any moment. Hosts that stand still are left out.
-func (w *town) watch(span clock.Milli, without map[*resident]bool) int {
+func (w *fleet) watch(span clock.Milli, without map[*simHost]bool) int {
 	most := 0
 	for range span / 250 {
 		w.run(250)
@@ -120,7 +120,7 @@
 // Guards against hosts that are dead and stay in the lists, and against one that
 // starts again, its clock set back, and is not seen.
 func TestKilledHostsAreMissed(t *testing.T) {
-	w := newTown(t, 20, 0)
+	w := newFleet(t, 20, 0)
 	w.run(10 * clock.Second)
 	w.byName[name(5)].dead = true
 	w.byName[name(0)].dead = true
@@ -134,7 +134,7 @@
 
 // Guards against work sent to a host that has said that it leaves.
 func TestLeavingHostIsDropped(t *testing.T) {
-	w := newTown(t, 7, 0)
+	w := newFleet(t, 7, 0)
 	w.run(8 * clock.Second)
 	r := w.byName[name(3)]
 	w.send(t, r.list.Leave(w.now.Now()))
@@ -148,7 +148,7 @@
 
 // Guards against a leaving host that many of a large fleet do not hear of.
 func TestLeavingHostIsDroppedByLargeFleets(t *testing.T) {
-	w := newTown(t, 200, 0.02)
+	w := newFleet(t, 200, 0.02)
 	w.run(8 * clock.Second)
 	r := w.byName[name(3)]
 	w.send(t, r.list.Leave(w.now.Now()))
@@ -161,7 +161,7 @@
 // Guards against parts of the system that have lost each other and stay apart.
 func TestPartsFindEachOtherAgain(t *testing.T) {
 	for _, n := range []int{20, 200} {
-		w := newTown(t, n, 0)
+		w := newFleet(t, n, 0)
 		w.run(10 * clock.Second)
 		side := map[string]bool{}
 		for i := range n {
@@ -181,7 +181,7 @@
 func TestOldUpdatesDoNotReviveTheDead(t *testing.T) {
 	l := List{Self: Host{Gossip: "10.0.0.1:1", Domain: "d0", Started: 1}}
 	other := Host{Gossip: "10.0.0.2:1", Domain: "d1", Started: 5, Incarnation: 3}
-	hear := func(h Host, s State) { l.hear(1000, Update{Host: h, State: s}) }
+	hear := func(h Host, s State) { l.apply(1000, Update{Host: h, State: s}) }
 	l.start(1000)
 	hear(other, Alive)
 	hear(other, Dead)
@@ -204,7 +204,7 @@
 // Guards against hosts that are dropped although they answer: one that is
 // suspected refutes before others give it up.
 func TestSuspectedHostRefutes(t *testing.T) {
-	w := newTown(t, 30, 0)
+	w := newFleet(t, 30, 0)
 	w.run(10 * clock.Second)
 	r, by := w.byName[name(7)], w.byName[name(8)]
 	version := by.list.Version()
@@ -219,7 +219,7 @@
 
 // Guards against a host that stood still and, waking, takes all others for dead.
 func TestStoppedHostDropsNobody(t *testing.T) {
-	w := newTown(t, 30, 0)
+	w := newFleet(t, 30, 0)
 	w.run(10*clock.Second + 100)
 	r := w.byName[name(7)]
 	version := r.list.Version()
@@ -236,7 +236,7 @@
 	l := List{Self: Host{Gossip: "10.0.0.1:1", Domain: "d0"}}
 	l.start(1000)
 	for i := range 40 {
-		l.hear(1000, Update{Host: Host{Gossip: fmt.Sprintf("10.0.1.%d:1", i), Domain: fmt.Sprintf("d%d", i%2)}})
+		l.apply(1000, Update{Host: Host{Gossip: fmt.Sprintf("10.0.1.%d:1", i), Domain: fmt.Sprintf("d%d", i%2)}})
 	}
 	assert.Equal(t, len(l.Near(1000, 100)), 20)
 	told := map[string]bool{}
@@ -255,7 +255,7 @@
 	l := List{Self: Host{Gossip: "10.0.0.1:1", Domain: "d0"}}
 	l.start(1000)
 	for i := range 2 * mostChanges {
-		l.hear(1000, Update{Host: Host{Gossip: name(i)}})
+		l.apply(1000, Update{Host: Host{Gossip: name(i)}})
 	}
 	list, more := l.Changes()
 	assert.Equal(t, len(list), mostChanges)
--- a/share/member/run.go
+++ b/share/member/run.go
@@ -22,9 +22,9 @@
 	if now >= l.syncAt {
 		packets = append(packets, l.sync(now)...)
 	}
-	if len(l.queue) > 0 && now >= l.shareAt {
-		l.shareAt = now + sharePeriod
-		packets = append(packets, l.Share(now)...)
+	if len(l.queue) > 0 && now >= l.gossipAt {
+		l.gossipAt = now + gossipPeriod
+		packets = append(packets, l.Gossip(now)...)
 	}
 	l.dueAt = l.Next()
 	return packets
@@ -40,7 +40,7 @@
 		next = min(next, e.suspectedAt+suspicionTime)
 	}
 	if len(l.queue) > 0 {
-		next = min(next, l.shareAt)
+		next = min(next, l.gossipAt)
 	}
 	return next
 }
@@ -51,16 +51,16 @@
 	if p.Sender.Host.Gossip == "" || p.Sender.Host.Gossip == l.Self.Gossip {
 		return nil
 	}
-	l.learn(now, p.Sender)
+	l.spread(now, p.Sender)
 	for _, u := range p.Updates {
 		if p.Kind == Diff {
 			// It is new to this host only.
-			if l.hear(now, u) {
+			if l.apply(now, u) {
 				l.learned++
 			}
 			continue
 		}
-		l.learn(now, u)
+		l.spread(now, u)
 	}
 	return l.answer(now, p)
 }
--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -61,26 +61,26 @@
 	// Wait is how long a read of the store waits for a change. Twice as much
 	// may pass until a host notices that the one it follows is cut off.
 	Wait clock.Milli
-	// Meet is how long the first read waits at most for other hosts to be known,
+	// PeerWait is how long the first read waits at most for other hosts to be known,
 	// and Settle how long it waits for more of them. Hosts that start together
 	// would otherwise all read the store.
-	Meet, Settle clock.Milli
-	Engine       *fetch.Engine
-	Clock        clock.Clock
-	Log          zerolog.Logger
-	Sink         Sink
+	PeerWait, PeerSettle clock.Milli
+	Engine               *fetch.Engine
+	Clock                clock.Clock
+	Log                  zerolog.Logger
+	Sink                 Sink
 
-	mirror  Mirror
-	mu      sync.Mutex
-	choose  chooser
-	source  string
-	reading Source
-	after   int64
-	freshAt clock.Milli
-	lost    bool
-	met     chan struct{}
-	stop    chan struct{}
-	done    sync.WaitGroup
+	mirror     Mirror
+	mu         sync.Mutex
+	choose     chooser
+	source     string
+	reading    Source
+	after      int64
+	freshAt    clock.Milli
+	lost       bool
+	peersKnown chan struct{}
+	stop       chan struct{}
+	done       sync.WaitGroup
 }
 
 // Mirror is what this host has, for others.
@@ -90,7 +90,7 @@
 func (f *Follower) Start() {
 	f.stop = make(chan struct{})
 	f.mu.Lock()
-	f.knowMet()
+	f.signalPeers()
 	f.mu.Unlock()
 	f.choose.self = f.Self
 	f.freshAt = f.Clock.Now()
@@ -103,36 +103,36 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.choose.peers = list
-	f.knowMet()
+	f.signalPeers()
 }
 
-// knowMet makes the channel that is closed once other hosts are known, and closes
+// signalPeers makes the channel that is closed once other hosts are known, and closes
 // it when they are.
-func (f *Follower) knowMet() {
-	if f.met == nil {
-		f.met = make(chan struct{})
+func (f *Follower) signalPeers() {
+	if f.peersKnown == nil {
+		f.peersKnown = make(chan struct{})
 	}
 	select {
-	case <-f.met:
+	case <-f.peersKnown:
 	default:
 		if len(f.choose.peers) > 0 {
-			close(f.met)
+			close(f.peersKnown)
 		}
 	}
 }
 
-// meet waits until other hosts are known.
-func (f *Follower) meet() {
+// waitForPeers waits until other hosts are known.
+func (f *Follower) waitForPeers() {
 	select {
 	case <-f.stop:
 		return
-	case <-time.After(f.Meet.Duration()):
+	case <-time.After(f.PeerWait.Duration()):
 		return
-	case <-f.met:
+	case <-f.peersKnown:
 	}
 	select {
 	case <-f.stop:
-	case <-time.After(min(f.Settle, f.Meet).Duration()):
+	case <-time.After(min(f.PeerSettle, f.PeerWait).Duration()):
 	}
 }
 
@@ -148,7 +148,7 @@
 }
 
 func (f *Follower) run() {
-	f.meet()
+	f.waitForPeers()
 	for {
 		pause := gather
 		if err := f.step(); err != nil {
--- a/share/mirror/mirror_test.go
+++ b/share/mirror/mirror_test.go
@@ -201,12 +201,12 @@
 // region starts hosts of one region over a store.
 func region(t *testing.T, store *scripted, n int) []*host {
 	t.Helper()
-	return regionMeeting(t, store, n, nil)
+	return startTogether(t, store, n, nil)
 }
 
-// regionMeeting is region, or hosts that are tuned first and get to know each
+// startTogether is region, or hosts that are tuned first and get to know each
 // other after their start.
-func regionMeeting(t *testing.T, store *scripted, n int, tune func(*Follower)) []*host {
+func startTogether(t *testing.T, store *scripted, n int, tune func(*Follower)) []*host {
 	t.Helper()
 	engine := &fetch.Engine{}
 	assert.NilError(t, engine.Start())
@@ -365,7 +365,7 @@
 // Guards against hosts that start together and all read the store.
 func TestHostsThatStartTogetherReadOnce(t *testing.T) {
 	store := &scripted{revision: 1}
-	hosts := regionMeeting(t, store, 8, func(f *Follower) { f.Meet, f.Settle = 2*clock.Second, 300 })
+	hosts := startTogether(t, store, 8, func(f *Follower) { f.PeerWait, f.PeerSettle = 2*clock.Second, 300 })
 	for _, h := range hosts {
 		poll.WaitOn(t, h.sink.has(1), poll.WithTimeout(5*time.Second))
 	}
@@ -375,7 +375,7 @@
 // Guards against a host that knows no other and never reads.
 func TestLoneHostReads(t *testing.T) {
 	store := &scripted{revision: 1}
-	h := regionMeeting(t, store, 1, func(f *Follower) { f.Meet, f.Settle = 100, 50 })[0]
+	h := startTogether(t, store, 1, func(f *Follower) { f.PeerWait, f.PeerSettle = 100, 50 })[0]
 	poll.WaitOn(t, h.sink.has(1), poll.WithTimeout(5*time.Second))
 }
 
@@ -399,10 +399,10 @@
 func TestFewReadTheStoreInTheReadersPlace(t *testing.T) {
 	store := &scripted{revision: 1}
 	var ways []*refusing
-	hosts := regionMeeting(t, store, 12, func(f *Follower) {
+	hosts := startTogether(t, store, 12, func(f *Follower) {
 		way := &refusing{scripted: store}
 		ways = append(ways, way)
-		f.Store, f.Meet, f.Settle = way, 2*clock.Second, 300
+		f.Store, f.PeerWait, f.PeerSettle = way, 2*clock.Second, 300
 	})
 	for _, h := range hosts {
 		poll.WaitOn(t, h.sink.has(1), poll.WithTimeout(5*time.Second))
--- a/share/router/aggregators.go
+++ b/share/router/aggregators.go
@@ -68,10 +68,10 @@
 const (
 	// aggregatorsPart is the part of all aggregators.
 	aggregatorsPart = 0.75
-	// crewSeen is the share of the failure domain's hosts that an aggregator must
-	// see, and crewMemory for how long hosts count that are not seen any more.
-	crewSeen   = 0.5
-	crewMemory = 30 * clock.Second
+	// minSeen is the share of the failure domain's hosts that an aggregator must
+	// see, and peakMemory for how long hosts count that are not seen any more.
+	minSeen    = 0.5
+	peakMemory = 30 * clock.Second
 )
 
 // peak is the largest of a number's values of late.
@@ -81,7 +81,7 @@
 }
 
 func (p *peak) feed(now clock.Milli, value int) int {
-	if value >= p.value || now > p.at+crewMemory {
+	if value >= p.value || now > p.at+peakMemory {
 		p.value, p.at = value, now
 	}
 	return p.value
@@ -89,9 +89,9 @@
 
 // mayClaim tells whether this host takes an aggregator's part.
 func (e *Engine) mayClaim(now clock.Milli) bool {
-	crew := len(e.near[e.Self.Domain]) + 1
-	most := e.crew.feed(now, crew)
-	return e.aggregator && float64(crew) >= crewSeen*float64(most)
+	seen := len(e.near[e.Self.Domain]) + 1
+	most := e.domainHosts.feed(now, seen)
+	return e.aggregator && float64(seen) >= minSeen*float64(most)
 }
 
 // tiered tells whether any failure domain has hosts that are not aggregators.
@@ -108,13 +108,13 @@
 func (e *Engine) tieredIn(domain string) bool {
 	hosts := len(e.near[domain])
 	if domain == e.Self.Domain {
-		hosts = e.crew.value
+		hosts = e.domainHosts.value
 	}
 	return hosts > e.Policy.Aggregators
 }
 
-// askers is how many hosts share a leaf, if all were as this one.
-func (e *Engine) askers(f *leaf) float64 {
+// leafSharers is how many hosts share a leaf, if all were as this one.
+func (e *Engine) leafSharers(f *leaf) float64 {
 	hosts := float64(e.hosts)
 	switch {
 	case !e.sharded[f.Service] || !e.tieredIn(f.Domain):
@@ -125,9 +125,9 @@
 	return hosts / (1 - aggregatorsPart)
 }
 
-// spenders is how many hosts share a service's reserve of second calls, if all were
+// budgetSharers is how many hosts share a service's reserve of second calls, if all were
 // as this one.
-func (e *Engine) spenders(s *service) float64 {
+func (e *Engine) budgetSharers(s *service) float64 {
 	hosts := float64(e.hosts)
 	domains := map[string]bool{}
 	for _, f := range s.leafs {
--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -33,7 +33,7 @@
 	}
 	q.route = r
 	q.fingerprint = fingerprint(a.Request)
-	q.lot = rank.Fraction(a.Request.ID)
+	q.sample = rank.Fraction(a.Request.ID)
 	if e.crashes.Blocked(now, q.fingerprint) {
 		e.refuse(now, q, Harmful, "leafs went down under it")
 		return
@@ -56,7 +56,7 @@
 	if !a.Forwarded {
 		here, away = e.split(now, q)
 	}
-	if !e.bears(now, q, here) {
+	if !e.accepts(now, q, here) {
 		e.refuse(now, q, NoRoom, "too few shards can answer in time")
 		return
 	}
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -37,8 +37,8 @@
 	// aggregator is set while this host asks the leaves of its failure domain
 	// itself, and claims while it takes an aggregator's part of them.
 	aggregator, claims bool
-	// crew is the number of hosts of the own failure domain.
-	crew peak
+	// domainHosts is the largest number of hosts of the own failure domain of late.
+	domainHosts peak
 	// sharded are the services that are shards of a route.
 	sharded  map[string]bool
 	forwards map[uint64]*forward
@@ -46,16 +46,16 @@
 	services map[string]*service
 	regions  map[string]*region
 	waits    map[string]*fullWait
-	// lotteries are by route.
-	lotteries map[string]*lottery
-	callers   callers
-	limiter   limit.Limiter
-	crashes   crash.Memory
-	rounds    map[string]*roundRobin
-	queries   map[uint64]*query
-	calls     map[uint64]*attempt
-	lastCall  uint64
-	alarms    alarms
+	// shedders are by route.
+	shedders map[string]*shedder
+	callers  callers
+	limiter  limit.Limiter
+	crashes  crash.Memory
+	rounds   map[string]*roundRobin
+	queries  map[uint64]*query
+	calls    map[uint64]*attempt
+	lastCall uint64
+	alarms   alarms
 	// namedAt and named count the lines on leaves that have come or gone.
 	namedAt clock.Milli
 	named   int
@@ -91,7 +91,7 @@
 	e.services = map[string]*service{}
 	e.regions = map[string]*region{}
 	e.waits = map[string]*fullWait{}
-	e.lotteries = map[string]*lottery{}
+	e.shedders = map[string]*shedder{}
 	e.rounds = map[string]*roundRobin{}
 	e.queries = map[uint64]*query{}
 	e.calls = map[uint64]*attempt{}
@@ -197,12 +197,12 @@
 
 // fill gives a service's budget this host's part.
 func (e *Engine) fill(s *service) {
-	s.budget.Fill(e.Policy.Ratio, e.Policy.Reserve/e.spenders(s))
+	s.budget.Fill(e.Policy.Ratio, e.Policy.Reserve/e.budgetSharers(s))
 }
 
 // allot gives a leaf this host's part of what all hosts share.
 func (e *Engine) allot(f *leaf, s *service) {
-	f.hosts = e.askers(f)
+	f.hosts = e.leafSharers(f)
 	f.limit = connections(s.config, f.hosts)
 	if f.Slots > 0 {
 		f.limit = min(f.limit, f.Slots+f.Slots/waitingShare)
--- a/share/router/overload.go
+++ b/share/router/overload.go
@@ -9,37 +9,38 @@
 //
 // Three rules follow. A slow leaf gets few calls at a time, so that those it has are
 // in time. A query whose weak shards cannot be in time is refused when it comes,
-// before a leaf is asked. And while that happens, all hosts refuse the same queries:
-// those whose lot, a hash of the request, is below the share that is refused.
+// before a leaf is asked. And while that happens, all hosts refuse the same queries, by
+// consistent sampling: those whose sample, a hash of the request, is below the share
+// that is refused.
 
-// lottery is the share of a route's queries that is refused by lot. The zero value
-// refuses none.
-type lottery struct {
+// shedder holds the share of a route's queries that is refused by sampling. The zero
+// value refuses none.
+type shedder struct {
 	refused float64
 	at      clock.Milli
 }
 
 const (
-	// lotteryTighten is the part of those still admitted that one more query
+	// shedTighten is the part of those still admitted that one more query
 	// that cannot be in time has refused from then on.
-	lotteryTighten = 0.12
-	// lotteryRelax is the share that is admitted again in a second while queries
-	// would be in time easily.
-	lotteryRelax = 2.5
+	shedTighten = 0.12
+	// shedRelax is the share that is admitted again in a second while queries
+	// would be in time with ample room.
+	shedRelax = 2.5
 )
 
-// admits decides on a query by its lot and its prospect.
-func (l *lottery) admits(now clock.Milli, lot float64, p prospect) bool {
+// admits decides on a query by its sample and its prospect.
+func (l *shedder) admits(now clock.Milli, sample float64, p prospect) bool {
 	since := min(now-l.at, clock.Second)
 	l.at = now
-	if p == easily {
-		l.refused = max(0, l.refused-lotteryRelax*float64(since)/float64(clock.Second))
+	if p == ample {
+		l.refused = max(0, l.refused-shedRelax*float64(since)/float64(clock.Second))
 	}
-	if lot < l.refused {
+	if sample < l.refused {
 		return false
 	}
-	if p == hopeless {
-		l.refused += (1 - l.refused) * lotteryTighten
+	if p == unservable {
+		l.refused += (1 - l.refused) * shedTighten
 		return false
 	}
 	return true
@@ -50,20 +51,19 @@
 
 // Prospects of queries.
 const (
-	// hopeless queries lack too many shards at their target.
-	hopeless prospect = iota
-	// barely leaves little time.
-	barely
-	// easily is with at least easyShare of the time to spare.
-	easily
+	// unservable queries lack too many shards at their target.
+	unservable prospect = iota
+	tight
+	// ample queries are answered within ampleShare of their time.
+	ample
 )
 
 const (
-	// easyShare is the share of a query's time within which it is answered
-	// easily, and hopelessShare that beyond which it is not answered in time:
+	// ampleShare is the share of a query's time that an ample one takes at
+	// most, and unservableShare that beyond which it is not answered in time:
 	// what is expected of a leaf is known roughly.
-	easyShare     = 0.5
-	hopelessShare = 1.5
+	ampleShare      = 0.5
+	unservableShare = 1.5
 )
 
 // slowShare is the share of a route's target from which on a leaf's expected time
@@ -119,41 +119,41 @@
 // prospect tells whether enough shards of a query can be in time, of those that are
 // asked from here.
 func (e *Engine) prospect(now clock.Milli, q *query, here []*shard) prospect {
-	late, tight := 0, 0
-	soon := now + clock.Milli(easyShare*float64(q.target-now))
-	latest := now + clock.Milli(hopelessShare*float64(q.target-now))
+	late, slow := 0, 0
+	soon := now + clock.Milli(ampleShare*float64(q.target-now))
+	latest := now + clock.Milli(unservableShare*float64(q.target-now))
 	for _, s := range here {
 		at, ok := e.expectedAnswer(now, s)
 		switch {
 		case !ok || at > latest:
 			late++
 		case at > soon:
-			tight++
+			slow++
 		}
 	}
 	switch may := len(q.route.Shards) - q.route.Least(); {
 	case late > may:
-		return hopeless
-	case late+tight > may:
-		return barely
+		return unservable
+	case late+slow > may:
+		return tight
 	}
-	return easily
+	return ample
 }
 
-// bears tells whether a query over shards is begun here.
-func (e *Engine) bears(now clock.Milli, q *query, here []*shard) bool {
+// accepts tells whether a query over shards is begun here.
+func (e *Engine) accepts(now clock.Milli, q *query, here []*shard) bool {
 	if !q.route.Merged() || len(here) == 0 || !e.tieredIn(e.Self.Domain) {
 		return true
 	}
-	l := e.lotteries[q.route.Name]
+	l := e.shedders[q.route.Name]
 	if l == nil {
-		l = &lottery{}
-		e.lotteries[q.route.Name] = l
+		l = &shedder{}
+		e.shedders[q.route.Name] = l
 	}
 	p := e.prospect(now, q, here)
 	if q.late {
 		// It would take room from those that can be in time.
-		return l.refused == 0 && p == easily
+		return l.refused == 0 && p == ample
 	}
-	return l.admits(now, q.lot, p)
+	return l.admits(now, q.sample, p)
 }
--- a/share/router/query.go
+++ b/share/router/query.go
@@ -15,8 +15,8 @@
 	// answered it well.
 	fingerprint uint64
 	well        bool
-	// lot orders queries of one rank alike on all hosts.
-	lot     float64
+	// sample is a hash of the request, from 0 to 1, the same on all hosts.
+	sample  float64
 	route   *route.Route
 	version uint64
 	arrived clock.Milli
--- a/share/tier/peers.go
+++ b/share/tier/peers.go
@@ -170,7 +170,7 @@
 	packets := p.list.Tick(now)
 	if len(p.crashes) > 0 && now >= p.sharedAt+crashPeriod {
 		p.sharedAt = now
-		packets = append(packets, p.list.Share(now)...)
+		packets = append(packets, p.list.Gossip(now)...)
 	}
 	p.mu.Unlock()
 	for i := range packets {
