--- a/share/router/replay_test.go
+++ b/share/router/replay_test.go
@@ -1,11 +1,13 @@
 package router
 
 import (
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/rank"
 	"dandelionstile/share/roster"
 )
 
@@ -173,3 +175,38 @@
 		h.handle(Facts{Table: w.table, Leafs: list})
 	}
 }
+
+// Guards against callers that repeat at once and often, without the wait that they
+// are told, and take the room of the others: while leaves are slow and more come
+// than usual, the others are to lose little.
+func TestCallersThatRepeatAtOnceTakeNobodysRoom(t *testing.T) {
+	const abusive = 0.3
+	others := func(abuse float64) float64 {
+		const seeds = 4
+		sum, n := 0.0, 0
+		for seed := int64(1); seed <= seeds; seed++ {
+			w := newWorld(t, seed, 30, 0, browse(78), peek(26))
+			w.abuse = abuse
+			w.load(12000)
+			w.run(4000)
+			w.crowd = 1.5
+			w.slow(6)
+			w.run(8000)
+			w.crowd = 0
+			w.slow(0)
+			w.run(16000)
+			for i, r := range w.asked {
+				abuses := rank.Fraction("caller", strconv.Itoa(i)) < abusive
+				if !abuses && r.first >= 4000 && r.first < 9000 {
+					sum += r.credit
+					n++
+				}
+			}
+		}
+		return sum / float64(n)
+	}
+	const mostLost = 0.05
+	alone, beside := others(0), others(abusive)
+	t.Logf("credit of the others %.3f, beside callers that repeat %.3f", alone, beside)
+	assert.Assert(t, alone-beside <= mostLost, "%.3f, beside callers that repeat %.3f", alone, beside)
+}
--- a/share/router/world_test.go
+++ b/share/router/world_test.go
@@ -7,11 +7,13 @@
 	"math"
 	"math/rand"
 	"slices"
+	"strconv"
 	"testing"
 
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
 	"dandelionstile/share/news"
+	"dandelionstile/share/rank"
 	"dandelionstile/share/roster"
 	"dandelionstile/share/route"
 )
@@ -37,6 +39,9 @@
 	silent bool
 	// stopped ends the arrivals.
 	stopped clock.Milli
+	// abuse is the share of callers that repeat abuseTimes more often than others,
+	// and at once.
+	abuse float64
 	// crowd is by how much more requests come than usual; 0 is not at all.
 	crowd float64
 }
@@ -58,6 +63,8 @@
 	// credit is what the answer was worth to the caller, of 1.
 	credit float64
 	ended  bool
+	// abuses is set for a caller that repeats at once and often.
+	abuses bool
 	// lastRefusal is the reason of the last refusal.
 	lastRefusal Refusal
 }
@@ -104,6 +111,7 @@
 }
 
 const (
+	abuseTimes                = 3
 	simWay        clock.Milli = 3 // one way between caller and host
 	simNear       clock.Milli = 1 // one way between host and leaf
 	simFar        clock.Milli = 8 // the same between regions
@@ -430,7 +438,7 @@
 		if w.now >= w.stopped {
 			return
 		}
-		r := &simRequest{kind: k, first: w.now}
+		r := &simRequest{kind: k, first: w.now, abuses: rank.Fraction("caller", strconv.Itoa(len(w.asked))) < w.abuse}
 		w.asked = append(w.asked, r)
 		w.attempt(r)
 		w.arrivals(k)
@@ -467,7 +475,11 @@
 }
 
 func (w *world) again(r *simRequest) {
-	if !r.ended && r.tries <= r.kind.retries && w.now < r.first+r.kind.deadline {
+	retries := r.kind.retries
+	if r.abuses {
+		retries += abuseTimes
+	}
+	if !r.ended && r.tries <= retries && w.now < r.first+r.kind.deadline {
 		w.attempt(r)
 	}
 }
@@ -478,7 +490,11 @@
 	}
 	r.lastRefusal = a.Refusal
 	if a.Refusal != None {
-		w.at(w.now+a.Again, func() { w.again(r) })
+		wait := a.Again
+		if r.abuses {
+			wait = 0
+		}
+		w.at(w.now+wait, func() { w.again(r) })
 		return
 	}
 	r.ended = true
