--- a/share/router/replay_test.go
+++ b/share/router/replay_test.go
@@ -20,7 +20,7 @@
 	const seeds = 8
 	before, first, after := 0.0, 0.0, 0.0
 	for seed := int64(1); seed <= seeds; seed++ {
-		w := newWorld(t, seed, 30, 3, browse(78), peek(26))
+		w := newWorld(t, seed, 3, browse(78), peek(26))
 		w.load(12000)
 		w.run(5000)
 		for _, h := range w.hosts {
@@ -48,7 +48,7 @@
 	const seeds = 8
 	during, after := 0.0, 0.0
 	for seed := int64(1); seed <= seeds; seed++ {
-		w := newWorld(t, seed, 30, 3, browse(78), peek(26))
+		w := newWorld(t, seed, 3, browse(78), peek(26))
 		w.load(14000)
 		w.run(4000)
 		w.crowd = 1.7
@@ -137,7 +137,7 @@
 			for seed := int64(1); seed <= seeds; seed++ {
 				b, p := browse(78*c.rate), peek(26*c.rate)
 				b.route.LeastShare, p.route.LeastShare = c.browse, c.peek
-				w := newWorld(t, seed, 30, 0, b, p)
+				w := newWorld(t, seed, 0, b, p)
 				for _, l := range w.leafs {
 					l.Slots = c.slots
 				}
@@ -185,7 +185,7 @@
 		const seeds = 4
 		sum, n := 0.0, 0
 		for seed := int64(1); seed <= seeds; seed++ {
-			w := newWorld(t, seed, 30, 0, browse(78), peek(26))
+			w := newWorld(t, seed, 0, browse(78), peek(26))
 			w.abuse = abuse
 			w.load(12000)
 			w.run(4000)
--- a/share/router/world_test.go
+++ b/share/router/world_test.go
@@ -524,11 +524,14 @@
 // smallFleet is how many hosts a small deployment has.
 const smallFleet = 6
 
+// smallShards is how many shards its index has.
+const smallShards = 30
+
 // newWorld has six hosts in three regions, and shards with a leaf in two of
 // them; the first few have lost one of theirs.
-func newWorld(t *testing.T, seed int64, shards, single int, kinds ...simKind) *world {
+func newWorld(t *testing.T, seed int64, single int, kinds ...simKind) *world {
 	t.Helper()
-	return newFleet(t, seed, smallFleet, 0, shards, single, kinds...)
+	return newFleet(t, seed, smallFleet, 0, smallShards, single, kinds...)
 }
 
 // allHosts has every host ask the leaves of its failure domain itself.
