--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -62,7 +62,7 @@
 	// may pass until a host notices that the one it follows is cut off.
 	Wait clock.Milli
 	// PeerWait is how long the first read waits at most for other hosts to be known,
-	// and Settle how long it waits for more of them. Hosts that start together
+	// and PeerSettle how long it waits for more of them. Hosts that start together
 	// would otherwise all read the store.
 	PeerWait, PeerSettle clock.Milli
 	Engine               *fetch.Engine
