--- a/share/router/forward_test.go
+++ b/share/router/forward_test.go
@@ -172,12 +172,7 @@
 // answer and need not ask for all shards once more.
 func TestPartsThatAnotherHostLacksAreAskedForFromHere(t *testing.T) {
 	r := newRig(t)
-	var far []roster.Leaf
-	for i := range 4 {
-		s := fmt.Sprintf("s%d", i)
-		far = append(far, leafOf(s, s+"-far", there))
-	}
-	r.handle(Facts{Table: table(1, merged(4)), Leafs: far})
+	r.handle(Facts{Table: table(1, merged(4)), Leafs: farLeaves(4)})
 	r.handle(Peers{List: []Peer{{Address: helperAddress, Domain: there, Started: 1}}})
 	q := r.arrive("/all/x", 1500)
 	assert.Equal(t, len(r.forwards), 1)
@@ -196,12 +191,7 @@
 // of many hosts would find out by a query of its own that is late.
 func TestSuspectedHostGetsNoShards(t *testing.T) {
 	r := newRig(t)
-	var far []roster.Leaf
-	for i := range 4 {
-		s := fmt.Sprintf("s%d", i)
-		far = append(far, leafOf(s, s+"-far", there))
-	}
-	r.handle(Facts{Table: table(1, merged(4)), Leafs: far})
+	r.handle(Facts{Table: table(1, merged(4)), Leafs: farLeaves(4)})
 	other := "10.0.2.8:1"
 	r.handle(Peers{List: []Peer{{Address: helperAddress, Domain: there, Started: 1, Suspected: true}, {Address: other, Domain: there, Started: 1}}})
 	for range 3 {
@@ -212,3 +202,13 @@
 	}
 	assert.Equal(t, len(r.forwards), 3)
 }
+
+// farLeaves are a leaf for each of some shards, all in another failure domain.
+func farLeaves(shards int) []roster.Leaf {
+	list := make([]roster.Leaf, shards)
+	for i := range list {
+		service := fmt.Sprintf("s%d", i)
+		list[i] = leafOf(service, service+"-far", there)
+	}
+	return list
+}
