netio: connections never share a buffer

Cause: nbhttp's Response.writeChunk frees the buffer it has collected once the next chunk makes it 65,536 bytes or more, appends to it, sends it and frees it again. The pool then holds one buffer twice and gives it to two connections, whatever they send.

Change: the library allocates from an allocator that never gives a freed buffer to another connection. That covers every use after free of the library, not only this one; cutting chunks small would cover only this one and leave double frees of other paths, and a pool of our own would share again. Answers of all sizes are compared byte by byte.

--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -13,15 +13,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"dandelionstile/share/loops"
+	_ "dandelionstile/share/netio" // sets up the library
 )
 
-// The library logs to standard output, which belongs to the programs.
-func init() { logging.SetLevel(logging.LevelNone) }
-
 // Errors of calls.
 var (
 	// ErrNotOpened: the connection could not be opened; nothing was sent.
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -16,11 +16,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/loops"
+	_ "dandelionstile/share/netio" // sets up the library
 )
 
 // Errors of reading a request.
@@ -51,9 +51,6 @@
 	defaultPollers = 2
 )
 
-// The library logs to standard output, which belongs to the programs.
-func init() { logging.SetLevel(logging.LevelNone) }
-
 // Server serves a handler on one address. The context of a request ends when its
 // caller closes the connection. Fields are set before Start.
 type Server struct {
