httpd: requests that wait unread keep their connection

What callers saw: a reset of an open connection that they used in time, or 408 for a request that they had sent whole.

Bytes that wait in the socket, while the event loop is behind, did not count; a close with bytes unread resets the connection.

Change: a connection is closed as idle, or its request timed out, only if no byte waits in its socket. The whole time of a request stays bounded as before.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -138,11 +139,30 @@
 	}
 }
 
+// unread tells whether bytes of the caller wait to be read: its request has arrived,
+// even if an event loop that is behind does not know of it yet.
+func (o *openConn) unread() bool {
+	c, ok := o.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = err == nil && n > 0
+	})
+	return err == nil && waiting
+}
+
 func (c *conns) closeIdle() {
 	c.mu.Lock()
 	var idle []net.Conn
 	for _, o := range c.open {
-		if o.requests == 0 && time.Since(o.freed) >= settleAfter {
+		if o.requests == 0 && time.Since(o.freed) >= settleAfter && !o.unread() {
 			idle = append(idle, o.conn)
 		}
 	}
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -94,7 +94,8 @@
 	timeOut
 )
 
-// judge looks at one connection.
+// judge looks at one connection. What has arrived and is not read yet counts as in
+// time.
 func (l Limits) judge(o *openConn, now time.Time) verdict {
 	switch {
 	case o.requests > 0:
@@ -104,10 +105,10 @@
 			return closeNow
 		}
 	case !o.begunAt.IsZero():
-		if now.Sub(o.heardAt) > l.Silence || now.Sub(o.begunAt) > slowest*l.Silence {
+		if now.Sub(o.heardAt) > l.Silence && !o.unread() || now.Sub(o.begunAt) > slowest*l.Silence {
 			return timeOut
 		}
-	case now.Sub(o.freed) > l.Idle:
+	case now.Sub(o.freed) > l.Idle && !o.unread():
 		return closeNow
 	}
 	return keep
--- a/share/httpd/limits_test.go
+++ b/share/httpd/limits_test.go
@@ -10,13 +10,21 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // limited serves an echo with small limits and opens a connection to it.
 func limited(t *testing.T, l Limits) (*Server, net.Conn) {
 	t.Helper()
-	s := &Server{Address: "127.0.0.1:0", Limits: l, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return limitedLoops(t, l, 0)
+}
+
+// limitedLoops is limited with a number of event loops; 0 for the default.
+func limitedLoops(t *testing.T, l Limits, loops int) (*Server, net.Conn) {
+	t.Helper()
+	s := &Server{Address: "127.0.0.1:0", Limits: l, pollers: loops, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		assert.Check(t, err)
 		w.WriteHeader(http.StatusOK)
@@ -197,3 +205,86 @@
 		t.Fatal("the server does not close")
 	}
 }
+
+// hold keeps the event loop of a server with one from reading until the returned
+// function is called.
+func hold(t *testing.T, s *Server) (release func()) {
+	t.Helper()
+	block, blocked := make(chan struct{}), make(chan struct{})
+	s.engine.Engine.OnRead(func(c *nbio.Conn) {
+		select {
+		case <-blocked:
+		default:
+			close(blocked)
+			<-block
+		}
+		s.readable(c)
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	<-blocked
+	return func() { close(block) }
+}
+
+// hasRead tells whether a connection has so many bytes of a request that is not whole.
+func (c *conns) hasRead(bytes int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, o := range c.open {
+			if o.requests == 0 && o.bytes == bytes {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("not read yet")
+	}
+}
+
+// Guards against a request that arrived in time and is reset, or told that it came too
+// late, since its host read it late.
+func TestRequestsThatWaitUnreadAreServed(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	for _, c := range []struct {
+		name        string
+		limits      Limits
+		first, rest string
+	}{
+		{"on an idle connection", Limits{Idle: limit}, "", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"within a request", Limits{Silence: limit}, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na", "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, conn := limitedLoops(t, c.limits, 1)
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			assert.NilError(t, err)
+			assert.Equal(t, status(t, conn), http.StatusOK)
+			_, err = io.WriteString(conn, c.first)
+			assert.NilError(t, err)
+			poll.WaitOn(t, s.conns.hasRead(len(c.first)))
+			release := hold(t, s)
+			_, err = io.WriteString(conn, c.rest)
+			assert.NilError(t, err)
+			time.Sleep(limit + 2*sweepEvery) // several sweeps find the connection over its limit
+			release()
+			assert.Equal(t, status(t, conn), http.StatusOK)
+		})
+	}
+}
+
+// Guards against a request that arrived before its host left and is reset, since the
+// host reads it after it closed its idle connections.
+func TestIdleCloseSparesRequestsThatWaitUnread(t *testing.T) {
+	s, conn := limitedLoops(t, Limits{}, 1)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, status(t, conn), http.StatusOK)
+	release := hold(t, s)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(2 * settleAfter) // until the connection counts as idle
+	s.CloseIdle()
+	release()
+	assert.Equal(t, status(t, conn), http.StatusOK)
+}
