router: only the first request of a connection tells a round trip

What callers saw: behind an address from which some repeat at once, answers that leave up to 120 ms too early, without shards that would still have come.

Cause: time that has passed at a repeat was taken for the round trip to its caller, and applied to all callers behind the address.

Evidence: TestRepeatsLeaveRoundTripsAlone; on the code before it fails at its second line, with 40 ms for a repeat.

Change: a connection's first request tells the round trip, later ones do not. Connections are kept in two generations, so that memory is bounded and those in use are not forgotten.

--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/rank"
@@ -144,7 +143,7 @@
 	}
 	passed := w.passed(wait)
 	w.learn(wait)
-	target := now + r.Target - passed - e.callers.way(a.Remote, passed) - e.Policy.Margin
+	target := now + r.Target - passed - e.callers.roundTrip(a.Remote, passed) - e.Policy.Margin
 	switch {
 	case r.Target <= 0:
 		target = q.end
@@ -194,34 +193,6 @@
 	return r.Services[best].Service
 }
 
-// callers remembers how far away callers are.
-type callers struct{ ways map[string]clock.Milli }
-
-const (
-	// mostCallers bounds the memory for callers.
-	mostCallers = 4096
-	// mostWay is the longest round trip to a caller that is believed: a first
-	// request that took longer on its way is one that was sent again.
-	mostWay clock.Milli = 120
-)
-
-// way is the round trip to a caller. A caller that opens a connection spends
-// one round trip on it before its first request, so that the time that has
-// passed by then tells the round trip; later requests on the connection name
-// their full wait, and the answer needs the same time back.
-func (c *callers) way(remote string, passed clock.Milli) clock.Milli {
-	host, _, _ := strings.Cut(remote, ":")
-	if c.ways == nil || len(c.ways) >= mostCallers {
-		c.ways = map[string]clock.Milli{}
-	}
-	known, ok := c.ways[host]
-	if passed > 0 && passed <= mostWay && (!ok || passed < known) {
-		c.ways[host] = passed
-		return passed
-	}
-	return known
-}
-
 // unreachable tells why no answer is possible: too few shards have a leaf at all.
 func (e *Engine) unreachable(now clock.Milli, q *query) string {
 	have := 0
--- /dev/null
+++ b/share/router/caller_test.go
@@ -0,0 +1,35 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionstile/share/clock"
+)
+
+// Guards against the time that a repeat has lost being taken for the round trip to all
+// callers behind its address, which are then answered too early.
+func TestRepeatsLeaveRoundTripsAlone(t *testing.T) {
+	var c callers
+	assert.Equal(t, c.roundTrip("gateway:1", 0), clock.Milli(0), "an open connection tells nothing")
+	assert.Equal(t, c.roundTrip("gateway:1", 40), clock.Milli(0), "a repeat on an open connection")
+	assert.Equal(t, c.roundTrip("gateway:2", 6), clock.Milli(6), "the first request of a connection")
+	assert.Equal(t, c.roundTrip("gateway:2", 3), clock.Milli(6), "a later one")
+	assert.Equal(t, c.roundTrip("gateway:3", 18), clock.Milli(6), "a repeat on a new connection")
+	assert.Equal(t, c.roundTrip("gateway:1", 0), clock.Milli(6))
+	assert.Equal(t, c.roundTrip("other:1", maxRoundTrip+1), clock.Milli(0), "too long to be a round trip")
+}
+
+// Guards against memory that grows with the connections of a day.
+func TestCallersAreBounded(t *testing.T) {
+	var c callers
+	c.roundTrip("kept:1", 0)
+	for i := range 5 * maxCallers {
+		c.roundTrip(fmt.Sprintf("%d:1", i), 6)
+		c.roundTrip("kept:1", 40)
+	}
+	assert.Assert(t, len(c.roundTrips) <= maxCallers && len(c.recent)+len(c.former) <= 2*maxCallers)
+	assert.Equal(t, c.roundTrip("kept:1", 40), clock.Milli(0), "a connection that is used is not forgotten")
+}
--- a/share/router/query.go
+++ b/share/router/query.go
@@ -187,7 +187,7 @@
 		w.value, w.votes = wait, 1
 	case w.value == wait:
 		w.votes = min(w.votes+1, mostVotes)
-	case wait < w.value && w.value-wait <= mostWay:
+	case wait < w.value && w.value-wait <= maxRoundTrip:
 		w.votes -= nearVote
 	default:
 		w.votes--
