member: answers to digests settle whole buckets

Hosts that are not known get no share of limits and no forwarded shards.

Cause: an answer to a digest lists the hosts of differing buckets from a random place on the ring on, 384 at most. A host that lacks neighbours on the ring, since it missed one such answer, is told of others that it knows. Traced at 2,500 hosts: the worst host compared four times in a row with hosts that knew all, one second apart, and learnt nothing.

Change: hosts are listed by bucket, from a random one on. What an answer holds in full is equal from then on, so that each answer brings the lists closer.

Up to 384 differing hosts nothing changes but the order.

--- /dev/null
+++ b/share/member/diff_test.go
@@ -0,0 +1,51 @@
+package member
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// answersUntilEqual is how many answers to its digests a host needs that lacks some
+// neighbours on the ring.
+func answersUntilEqual(t *testing.T, seed uint64, hosts, lacking int) int {
+	t.Helper()
+	short, long := &List{Self: Host{Gossip: "10.9.0.1:1"}}, &List{Self: Host{Gossip: "10.9.0.2:1", Started: seed}}
+	short.start(1000)
+	long.start(1000)
+	long.apply(1000, short.self.Update)
+	short.apply(1000, long.self.Update)
+	for i := range hosts {
+		long.apply(1000, Update{Host: Host{Gossip: name(i)}})
+	}
+	for i, e := range long.ring {
+		if i >= lacking {
+			short.apply(1000, e.Update)
+		}
+	}
+	answers := 0
+	for ; short.sum() != long.sum(); answers++ {
+		whole := short.whole()
+		for _, p := range long.differing(1000, short.Self.Gossip, fold(whole[:], short.digestSize())) {
+			short.Receive(1000, p)
+		}
+		assert.Assert(t, answers < hosts, "the lists still differ: %d and %d hosts", len(short.ring), len(long.ring))
+	}
+	return answers
+}
+
+// Guards against a host that lacks a few neighbours on the ring and is answered, again and
+// again, with others that it knows.
+func TestEachAnswerToADigestSettlesSome(t *testing.T) {
+	const hosts, lacking, seeds = 4000, 300, 20
+	slowest, sum := 0, 0
+	for seed := range uint64(seeds) {
+		answers := answersUntilEqual(t, seed, hosts, lacking)
+		slowest = max(slowest, answers)
+		sum += answers
+	}
+	t.Logf("%.1f answers on average, %d at most", float64(sum)/seeds, slowest)
+	// All buckets of an answer but its first and last are settled by it.
+	const most = hosts/(syncMost-2*2*hosts/buckets) + 1
+	assert.Assert(t, slowest <= most, "%d answers, at most %d", slowest, most)
+}
--- a/share/member/gossip.go
+++ b/share/member/gossip.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/bits"
 	"slices"
@@ -166,23 +167,27 @@
 		i := e.hash % uint64(size)
 		return own[i] != digest[i]
 	}
-	var list []Update
-	// From a place drawn anew, so that a long list is answered in full by
-	// several hosts.
-	first := 0
-	if len(l.ring) > 0 {
-		first = l.rand.IntN(len(l.ring))
-	}
-	for i := range l.ring {
-		if e := l.ring[(first+i)%len(l.ring)]; differs(e) && len(list) < most {
-			list = append(list, e.Update)
+	var found []*entry
+	for _, e := range l.ring {
+		if differs(e) {
+			found = append(found, e)
 		}
 	}
-	for i := len(l.gone) - 1; i >= 0 && len(list) < most; i-- {
+	for i := len(l.gone) - 1; i >= 0; i-- {
 		if e := l.gone[i]; differs(e) {
-			list = append(list, e.Update)
+			found = append(found, e)
 		}
 	}
+	// In order of buckets, so that an answer settles those that it holds in full, and
+	// from one drawn anew, so that several hosts together answer a long list in full.
+	first := l.rand.Uint64()
+	slices.SortStableFunc(found, func(a, b *entry) int {
+		return cmp.Compare((a.hash+first)%uint64(size), (b.hash+first)%uint64(size))
+	})
+	var list []Update
+	for _, e := range found[:min(len(found), most)] {
+		list = append(list, e.Update)
+	}
 	var packets []Packet
 	for len(list) > 0 {
 		n := min(perPacket, len(list))
