member: a comparison that brings nothing among others that do is made again soon

Cause: the pause after a comparison follows what it alone has brought. One that is lost brings nothing, and the next is made after the 5 s of calm times. Answers to probes, which show the difference, do not start one while updates wait to be published.

Change: after the short pause comes one of 1 s before that of calm times. A fleet that knows all makes one comparison more.

Evidence: TestLostComparisonIsMadeAgainSoon fails before with 5 s for 1 s.

--- a/share/member/diff_test.go
+++ b/share/member/diff_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"dandelionstile/share/clock"
 )
 
 // answersUntilEqual is how many answers to its digests a host needs that lacks some
@@ -49,3 +51,18 @@
 	const most = hosts/(syncMost-2*2*hosts/buckets) + 1
 	assert.Assert(t, slowest <= most, "%d answers, at most %d", slowest, most)
 }
+
+// Guards against a comparison that is lost, among many that bring hosts, and made again
+// only after the pause of calm times.
+func TestLostComparisonIsMadeAgainSoon(t *testing.T) {
+	l := &List{Self: Host{Gossip: "10.9.0.1:1"}, syncs: firstSyncs}
+	l.start(1000)
+	for _, one := range []struct {
+		learned int
+		pause   clock.Milli
+	}{{learnedMany, syncFirst}, {0, syncAgain}, {0, syncEvery}, {1, syncAgain}, {0, syncEvery}} {
+		l.learned = one.learned
+		l.sync(1000)
+		assert.Equal(t, l.syncAt, 1000+one.pause, "%+v", one)
+	}
+}
--- a/share/member/gossip.go
+++ b/share/member/gossip.go
@@ -30,8 +30,8 @@
 	leaveTold = 24
 
 	// syncEvery is the pause between two comparisons of digests, syncAgain after
-	// one that has shown a difference, and syncFirst after one that has shown
-	// many, or for the firstSyncs of a host that has just started.
+	// one that has shown a difference or came after syncFirst, and syncFirst after one
+	// that has shown many, or for the firstSyncs of a host that has just started.
 	syncEvery              = 5 * clock.Second
 	syncAgain              = clock.Second
 	syncFirst  clock.Milli = 150
@@ -122,14 +122,15 @@
 func (l *List) sync(now clock.Milli) []Packet {
 	l.syncs++
 	l.syncedAt = now
+	period := syncEvery
 	switch {
 	case l.syncs <= firstSyncs || l.learned >= learnedMany:
-		l.syncAt = now + syncFirst
-	case l.learned > 0:
-		l.syncAt = now + syncAgain
-	default:
-		l.syncAt = now + syncEvery
+		period = syncFirst
+	case l.learned > 0 || l.syncPeriod == syncFirst:
+		// One that brings nothing after others that did may have been lost.
+		period = syncAgain
 	}
+	l.syncPeriod, l.syncAt = period, now+period
 	l.learned = 0
 	whole := l.whole()
 	digest := fold(whole[:], l.digestSize())
--- a/share/member/member.go
+++ b/share/member/member.go
@@ -149,7 +149,9 @@
 	probeAt  clock.Milli
 	gossipAt clock.Milli
 	syncAt   clock.Milli
-	syncedAt clock.Milli
+	// syncPeriod is the pause that followed the last sync.
+	syncPeriod clock.Milli
+	syncedAt   clock.Milli
 	// syncWith is a host whose list differs.
 	syncWith string
 	syncs    int
