--- a/share/httpd/limits_test.go
+++ b/share/httpd/limits_test.go
@@ -211,7 +211,7 @@
 func hold(t *testing.T, s *Server) (release func()) {
 	t.Helper()
 	block, blocked := make(chan struct{}), make(chan struct{})
-	s.engine.Engine.OnRead(func(c *nbio.Conn) {
+	s.engine.OnRead(func(c *nbio.Conn) {
 		select {
 		case <-blocked:
 		default:
--- a/share/httpd/reuse_test.go
+++ b/share/httpd/reuse_test.go
@@ -60,7 +60,7 @@
 	turn := []chan struct{}{make(chan struct{}), make(chan struct{})}
 	turns <- turn[0]
 	turns <- turn[1]
-	s.engine.Engine.OnRead(func(c *nbio.Conn) {
+	s.engine.OnRead(func(c *nbio.Conn) {
 		select {
 		case held := <-turns:
 			<-held
