--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -151,6 +151,8 @@
 		return false
 	}
 	waiting := false
+	// If the connection is closed meanwhile, the descriptor may be another's; the answer
+	// does not matter then.
 	err = raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		waiting = err == nil && n > 0
--- a/share/httpd/limits_test.go
+++ b/share/httpd/limits_test.go
@@ -206,6 +206,8 @@
 	}
 }
 
+const plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
 // hold keeps the event loop of a server with one from reading until the returned
 // function is called.
 func hold(t *testing.T, s *Server) (release func()) {
@@ -223,7 +225,7 @@
 	c, err := net.Dial("tcp", s.Addr())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
-	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = io.WriteString(c, plainRequest)
 	assert.NilError(t, err)
 	<-blocked
 	return func() { close(block) }
@@ -252,12 +254,12 @@
 		limits      Limits
 		first, rest string
 	}{
-		{"on an idle connection", Limits{Idle: limit}, "", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"on an idle connection", Limits{Idle: limit}, "", plainRequest},
 		{"within a request", Limits{Silence: limit}, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na", "b"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s, conn := limitedLoops(t, c.limits, 1)
-			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			_, err := io.WriteString(conn, plainRequest)
 			assert.NilError(t, err)
 			assert.Equal(t, status(t, conn), http.StatusOK)
 			_, err = io.WriteString(conn, c.first)
@@ -277,11 +279,11 @@
 // host reads it after it closed its idle connections.
 func TestIdleCloseSparesRequestsThatWaitUnread(t *testing.T) {
 	s, conn := limitedLoops(t, Limits{}, 1)
-	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err := io.WriteString(conn, plainRequest)
 	assert.NilError(t, err)
 	assert.Equal(t, status(t, conn), http.StatusOK)
 	release := hold(t, s)
-	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = io.WriteString(conn, plainRequest)
 	assert.NilError(t, err)
 	time.Sleep(2 * settleAfter) // until the connection counts as idle
 	s.CloseIdle()
--- a/share/httpd/reuse_test.go
+++ b/share/httpd/reuse_test.go
@@ -12,8 +12,6 @@
 	"gotest.tools/v3/poll"
 )
 
-const plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-
 // serverSide is the server's end of a connection.
 func (s *Server) serverSide(c net.Conn) net.Conn {
 	s.conns.mu.Lock()
