--- a/share/httpd/httpd_test.go
+++ b/share/httpd/httpd_test.go
@@ -11,8 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// A daemon is started although its address is in use, and hangs: it neither
-// serves nor says why. An operator waits for it to become ready.
+// Guards against a daemon that hangs where its address is in use, instead of failing.
 func TestAddressInUseIsAnError(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -35,10 +34,7 @@
 	assert.NilError(t, s.Close())
 }
 
-// A caller's request is read just as its host, which is leaving, closes idle
-// connections. The request's handler has not had a turn yet, so the connection
-// looked idle, was closed, and the caller got no answer to a request that then
-// ran.
+// Guards against a close of connections with a request that was read and not handled yet.
 func TestIdleCloseSparesARequestThatWasRead(t *testing.T) {
 	var c conns
 	ours, theirs := net.Pipe()
@@ -62,9 +58,7 @@
 	assert.ErrorContains(t, err, "EOF")
 }
 
-// A caller closes its connection, or resets it, while its request is handled. The
-// request's context ends at once: what works for that caller can stop. Told only
-// after the handler, as the library does, nothing would ever stop early.
+// Guards against work that goes on for callers that have closed or reset their connection.
 func TestContextEndsWhenTheCallerLeaves(t *testing.T) {
 	for name, end := range map[string]func(*net.TCPConn){
 		"close": func(c *net.TCPConn) { assert.Check(t, c.Close()) },
@@ -100,9 +94,7 @@
 	}
 }
 
-// A host stands still while a request and the end of its connection come in, as a
-// stopped process does. Once it goes on, nothing is done for the caller that has
-// left.
+// Guards against work for callers that have left while their host stood still.
 func TestRequestOfACallerThatHasLeftIsNotHandled(t *testing.T) {
 	block, blocked := make(chan struct{}), make(chan struct{})
 	handled := make(chan string, 4)
@@ -138,9 +130,7 @@
 	assert.Equal(t, len(handled), 0, "the request was handled")
 }
 
-// A caller opens a connection from the address of its former one, whose end is
-// still in the library's queue. The former's end must not end the new one's
-// requests, nor hide that it is open.
+// Guards against the end of a former connection ending requests on the next from its address.
 func TestEndOfAFormerConnectionSparesTheNextFromItsAddress(t *testing.T) {
 	var c conns
 	former, a := net.Pipe()
--- a/share/httpd/limits_test.go
+++ b/share/httpd/limits_test.go
@@ -52,9 +52,7 @@
 	return res.StatusCode
 }
 
-// A caller sends half a request and then nothing. Six hundred like it would
-// hold their connections for good; it is told that its request did not come in
-// time, and the connection ends.
+// Guards against half-sent requests that hold their connections for good.
 func TestHalfSentRequestIsTimedOut(t *testing.T) {
 	_, c := limited(t, Limits{Silence: 300 * time.Millisecond})
 	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Le")
@@ -64,8 +62,7 @@
 	assert.ErrorContains(t, err, "EOF")
 }
 
-// A caller sends a byte now and then. No pause is over the limit, but the whole
-// request takes too long.
+// Guards against requests that come a byte at a time, with no pause over the limit.
 func TestDrippingRequestIsTimedOut(t *testing.T) {
 	_, c := limited(t, Limits{Silence: 100 * time.Millisecond})
 	go func() {
@@ -80,7 +77,7 @@
 	assert.Assert(t, time.Since(began) < 10*time.Second)
 }
 
-// A slow caller whose pauses are within the limit is served.
+// Guards against slow callers being cut off although their pauses are within the limit.
 func TestSlowRequestIsServed(t *testing.T) {
 	_, c := limited(t, Limits{Silence: 400 * time.Millisecond})
 	for _, part := range []string{"POST / HTTP/1.1\r\nHost: h\r\n", "Content-Length: 4\r\n\r\n", "ab", "cd"} {
@@ -91,9 +88,7 @@
 	assert.Equal(t, status(t, c), http.StatusOK)
 }
 
-// A caller sends three megabytes where one hundred kilobytes are allowed. It is
-// told so while it still sends; its connection was reset before, which told
-// nothing.
+// Guards against callers of bodies over the limit that are reset while they send, without an answer.
 func TestLargeBodyIsRefusedWithAnAnswer(t *testing.T) {
 	_, c := limited(t, Limits{BodyBytes: 100 << 10})
 	go func() {
@@ -105,7 +100,7 @@
 	assert.Equal(t, status(t, c), http.StatusRequestEntityTooLarge)
 }
 
-// The same in chunks, whose sum nobody has named.
+// Guards against the same for bodies in chunks, whose size nobody has named.
 func TestLargeChunkedBodyIsRefusedWithAnAnswer(t *testing.T) {
 	_, c := limited(t, Limits{BodyBytes: 100 << 10})
 	go func() {
@@ -117,7 +112,7 @@
 	assert.Equal(t, status(t, c), http.StatusRequestEntityTooLarge)
 }
 
-// A body within the limit is taken whole, also one that comes in many pieces.
+// Guards against bodies within the limit that are cut off since they come in many pieces.
 func TestBodyWithinTheLimitIsTaken(t *testing.T) {
 	_, c := limited(t, Limits{BodyBytes: 256 << 10})
 	body := bytes.Repeat([]byte("0123456789abcdef"), 16<<10)
@@ -137,7 +132,7 @@
 	assert.Assert(t, bytes.Equal(got, body))
 }
 
-// A header over the limit is refused as such.
+// Guards against headers over the limit that are taken.
 func TestLargeHeaderIsRefused(t *testing.T) {
 	_, c := limited(t, Limits{HeaderBytes: 4 << 10})
 	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 8<<10)+"\r\n\r\n")
@@ -145,8 +140,7 @@
 	assert.Equal(t, status(t, c), http.StatusRequestHeaderFieldsTooLarge)
 }
 
-// A connection on which nothing comes is closed after its time, and not before:
-// callers use idle connections up to four fifths of it.
+// Guards against idle connections that stay open, or are closed before callers use them in time.
 func TestIdleConnectionIsClosedAfterItsTime(t *testing.T) {
 	_, c := limited(t, Limits{Idle: time.Second})
 	for range 2 {
@@ -159,8 +153,7 @@
 	assert.ErrorContains(t, err, "EOF")
 }
 
-// Operators lower the limits while connections are open: they hold for those
-// too.
+// Guards against limits that do not hold for connections that were open when they changed.
 func TestLimitsAreReplacedWhileOpen(t *testing.T) {
 	s, c := limited(t, Limits{})
 	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n")
@@ -169,8 +162,7 @@
 	assert.Equal(t, status(t, c), http.StatusRequestTimeout)
 }
 
-// Callers ask for large answers and never read them. Others are served all the
-// same, and the server can be closed.
+// Guards against callers that never read their large answers and hold up others, or the end.
 func TestCallersThatNeverReadHoldUpNobody(t *testing.T) {
 	large := bytes.Repeat([]byte("x"), 4<<20)
 	s := &Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
