member: choose the buckets of an answer without sorting hosts

Buckets are counted and chosen first now, and their hosts taken in one pass; only the bucket that is larger than an answer is cut.

--- a/share/member/gossip.go
+++ b/share/member/gossip.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"encoding/binary"
 	"math/bits"
 	"slices"
@@ -168,26 +167,38 @@
 		i := e.hash % uint64(size)
 		return own[i] != digest[i]
 	}
-	var found []*entry
-	for _, e := range l.ring {
-		if differs(e) {
-			found = append(found, e)
+	var counts [buckets]int
+	count := func(list []*entry) {
+		for _, e := range list {
+			if differs(e) {
+				counts[e.hash%uint64(size)]++
+			}
 		}
 	}
-	for i := len(l.gone) - 1; i >= 0; i-- {
-		if e := l.gone[i]; differs(e) {
-			found = append(found, e)
+	count(l.ring)
+	count(l.gone)
+	// Whole buckets, which one answer settles, from one drawn anew, so that several
+	// hosts together answer a long list in full.
+	room := most
+	var chosen [buckets]bool
+	for i, first := 0, l.rand.IntN(size); i < size; i++ {
+		bucket := (first + i) % size
+		if n := counts[bucket]; n > 0 && (n <= room || room == most) {
+			chosen[bucket] = true
+			room -= n
 		}
 	}
-	// In order of buckets, so that an answer settles those that it holds in full, and
-	// from one drawn anew, so that several hosts together answer a long list in full.
-	first := l.rand.Uint64()
-	slices.SortStableFunc(found, func(a, b *entry) int {
-		return cmp.Compare((a.hash+first)%uint64(size), (b.hash+first)%uint64(size))
-	})
 	var list []Update
-	for _, e := range found[:min(len(found), most)] {
-		list = append(list, e.Update)
+	add := func(e *entry) {
+		if chosen[e.hash%uint64(size)] && len(list) < most {
+			list = append(list, e.Update)
+		}
+	}
+	for _, e := range l.ring {
+		add(e)
+	}
+	for _, e := range slices.Backward(l.gone) {
+		add(e)
 	}
 	var packets []Packet
 	for len(list) > 0 {
