member: hosts that have just started are told of different ones

Before answers went by buckets they began at a random place. They do again.

TestFreshHostsAreToldOfDifferentOnes: 384 hosts in ten answers before, over 1,920 after.

--- a/share/member/diff_test.go
+++ b/share/member/diff_test.go
@@ -66,3 +66,25 @@
 		assert.Equal(t, l.syncAt, 1000+one.pause, "%+v", one)
 	}
 }
+
+// Guards against hosts that have just started and are all told of the same few others.
+func TestFreshHostsAreToldOfDifferentOnes(t *testing.T) {
+	const hosts, answers = 4000, 10
+	l := &List{Self: Host{Gossip: "10.9.0.1:1"}}
+	l.start(1000)
+	for i := range hosts {
+		l.apply(1000, Update{Host: Host{Gossip: name(i)}})
+	}
+	fresh := &List{Self: Host{Gossip: "10.9.0.2:1"}}
+	fresh.start(1000)
+	whole := fresh.whole()
+	told := map[string]bool{}
+	for range answers {
+		for _, p := range l.differing(1000, fresh.Self.Gossip, fold(whole[:], fresh.digestSize())) {
+			for _, u := range p.Updates {
+				told[u.Host.Gossip] = true
+			}
+		}
+	}
+	assert.Assert(t, len(told) > answers*syncMost/2, "%d hosts in %d answers", len(told), answers)
+}
--- a/share/member/gossip.go
+++ b/share/member/gossip.go
@@ -194,8 +194,13 @@
 			list = append(list, e.Update)
 		}
 	}
-	for _, e := range l.ring {
-		add(e)
+	// A single bucket that is larger than an answer is cut at a place drawn anew.
+	cut := 0
+	if len(l.ring) > 0 {
+		cut = l.rand.IntN(len(l.ring))
+	}
+	for i := range l.ring {
+		add(l.ring[(cut+i)%len(l.ring)])
 	}
 	for _, e := range slices.Backward(l.gone) {
 		add(e)
