--- a/share/httpd/httpd_test.go
+++ b/share/httpd/httpd_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"gotest.tools/v3/assert"
 )
 
@@ -96,34 +95,24 @@
 
 // Guards against work for callers that have left while their host stood still.
 func TestRequestOfACallerThatHasLeftIsNotHandled(t *testing.T) {
-	block, blocked := make(chan struct{}), make(chan struct{})
 	handled := make(chan string, 4)
 	s := Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handled <- r.URL.Path })}
 	// With one event loop and its turn held, the server reads nothing.
 	s.pollers = 1
 	assert.NilError(t, s.Start())
-	held := s.engine.Engine
-	held.OnRead(func(c *nbio.Conn) {
-		select {
-		case <-blocked:
-		default:
-			close(blocked)
-			<-block
-		}
-		s.readable(c)
-	})
+	held, release := holdNextRead(&s)
 	first, err := net.Dial("tcp", s.Addr())
 	assert.NilError(t, err)
 	_, err = first.Write([]byte("GET /stays HTTP/1.1\r\nHost: h\r\n\r\n"))
 	assert.NilError(t, err)
-	<-blocked
+	<-held
 	second, err := net.Dial("tcp", s.Addr())
 	assert.NilError(t, err)
 	_, err = second.Write([]byte("GET /leaves HTTP/1.1\r\nHost: h\r\n\r\n"))
 	assert.NilError(t, err)
 	assert.NilError(t, second.Close())
 	time.Sleep(50 * time.Millisecond) // the end crosses loopback
-	close(block)
+	release()
 	assert.Equal(t, <-handled, "/stays")
 	assert.NilError(t, first.Close())
 	assert.NilError(t, s.Close())
--- a/share/httpd/limits_test.go
+++ b/share/httpd/limits_test.go
@@ -200,10 +200,9 @@
 
 const plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
-// hold keeps the event loop of a server with one from reading until the returned
-// function is called.
-func hold(t *testing.T, s *Server) (release func()) {
-	t.Helper()
+// holdNextRead keeps the event loop of a server with one from reading, from its next
+// turn until release is called; held is closed once it is kept.
+func holdNextRead(s *Server) (held <-chan struct{}, release func()) {
 	block, blocked := make(chan struct{}), make(chan struct{})
 	s.engine.OnRead(func(c *nbio.Conn) {
 		select {
@@ -214,13 +213,21 @@
 		}
 		s.readable(c)
 	})
+	return blocked, func() { close(block) }
+}
+
+// hold keeps the event loop of a server with one from reading until the returned
+// function is called.
+func hold(t *testing.T, s *Server) (release func()) {
+	t.Helper()
+	held, release := holdNextRead(s)
 	c, err := net.Dial("tcp", s.Addr())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	_, err = io.WriteString(c, plainRequest)
 	assert.NilError(t, err)
-	<-blocked
-	return func() { close(block) }
+	<-held
+	return release
 }
 
 // hasRead tells whether a connection has so many bytes of a request that is not whole.
