httpd: keep signals from failing the test of reused descriptors

The test reads with a raw system call from sockets with SO_RCVTIMEO. The kernel does not restart such a read after a signal, and the Go runtime preempts goroutines by signals, so a run in which the connections are answered can fail with EINTR.

The time limit of two seconds is kept by shutting the socket down instead, which ends a read with no bytes, and that fails the same check. The test itself is unchanged.

--- a/share/httpd/reuse_test.go
+++ b/share/httpd/reuse_test.go
@@ -25,13 +25,15 @@
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = syscall.Close(fd) })
-	assert.NilError(t, syscall.SetsockoptTimeval(fd, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &syscall.Timeval{Sec: 2}))
 	return fd
 }
 
-// connect connects a socket to a server.
+// connect connects a socket to a server, for two seconds. SO_RCVTIMEO would have signals
+// interrupt reads.
 func connect(t *testing.T, fd int, s *Server) {
 	t.Helper()
+	end := time.AfterFunc(2*time.Second, func() { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) })
+	t.Cleanup(func() { end.Stop() }) // before the socket is closed
 	addr := s.addr.(*net.TCPAddr)
 	to := &syscall.SockaddrInet4{Port: addr.Port}
 	copy(to.Addr[:], addr.IP.To4())
