evloop: add connections with descriptors that no event is left for

Callers saw new connections closed without an answer by a host that is well, most of all beside callers whose half-close or reset crosses the server's own close. Calls of fetch over new connections were lost likewise; an update is then told unknown, though it ran or was never sent.

Cause: an event loop of the library finds the connection of an event by its descriptor. If a goroutine other than the loop closes a connection after the kernel has put its end into a batch, and a new connection gets the descriptor before the loop handles it, the loop closes the new one.

Waiting for the loop to handle another event would not do; it must have asked for a batch after the descriptor was free.

Fix: all connections of httpd and fetch are added by evloop.Loops. It holds free descriptors, has the loops confirm them in bulk, and lets new connections have the confirmed ones; a connection that gets another one waits for its loop. This holds whoever closes a connection, the library's time-outs and failed writes included. httpd accepts connections itself, since the library adds them where it accepts; it logs failures and pauses after them. Close waits for the loops on their own connections. It opens none any more; such a probe could be closed by an event of a former connection, and Close would never have returned.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"dandelionstile/entry/core"
 	"dandelionstile/share/clock"
@@ -42,6 +43,7 @@
 type Front struct {
 	Core    *core.Core
 	Address string
+	Log     zerolog.Logger
 	// ExtraReady reports whether the other services of the process are ready too; it
 	// may be nil.
 	ExtraReady func() bool
@@ -53,7 +55,7 @@
 
 // Start listens for callers.
 func (f *Front) Start() error {
-	f.server = httpd.Server{Address: f.Address, Handler: f.handler()}
+	f.server = httpd.Server{Address: f.Address, Handler: f.handler(), Log: f.Log}
 	return f.server.Start()
 }
 
--- a/entry/main.go
+++ b/entry/main.go
@@ -48,7 +48,7 @@
 	e.core = core.Core{
 		Settings: env.Settings, Log: env.Log, Meter: env.Meter, Tracer: env.Tracer, OnConfigure: e.routed.Configure,
 	}
-	e.front = front.Front{Core: &e.core, Address: env.Settings.Listen.Callers, ExtraReady: e.routed.Ready}
+	e.front = front.Front{Core: &e.core, Address: env.Settings.Listen.Callers, Log: env.Log, ExtraReady: e.routed.Ready}
 	if err := e.start(); err != nil {
 		return daemon.Service{}, err
 	}
--- a/share/daemon/daemon.go
+++ b/share/daemon/daemon.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	admin := httpd.Server{Address: settings.Listen.Admin, Handler: service.Admin}
+	admin := httpd.Server{Address: settings.Listen.Admin, Handler: service.Admin, Log: log}
 	if err := admin.Start(); err != nil {
 		return errors.CombineErrors(err, service.Close())
 	}
--- /dev/null
+++ b/share/evloop/held.go
@@ -0,0 +1,208 @@
+package evloop
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+
+	"github.com/lesismal/nbio"
+)
+
+const (
+	// maxHeld bounds the descriptors that are held for an engine.
+	maxHeld = 128
+	// minConfirmed is the number of confirmed ones below which loops confirm others.
+	minConfirmed = maxHeld / 4
+)
+
+// descriptors holds free descriptors until their loops confirm that no events of former
+// connections are left, and then until new connections take them. The kernel gives a
+// new connection the lowest descriptor that is free, so all free ones below those confirmed
+// are held as well.
+type descriptors struct {
+	mu     sync.Mutex
+	source int // held descriptors are copies of it
+	closed bool
+	used   bool // by a connection since the last call of prepare
+	// fresh ones may have events, pending ones wait for their loops. Confirmed ones are
+	// in loops, by the number of the loop.
+	fresh, pending []int
+	loops          []loopDescriptors
+	turn           int // the loop that is next in turn
+}
+
+// loopDescriptors are those that the engine assigns to one loop.
+type loopDescriptors struct {
+	confirmed []int
+	last      *nbio.Conn // the last connection of the loop
+}
+
+// open holds copies of fd for a number of loops. They have had no connections, so there are
+// no events.
+func (d *descriptors) open(fd, loops int) (err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.source, err = syscall.Dup(fd); err != nil {
+		return err
+	}
+	d.loops = make([]loopDescriptors, loops)
+	d.fill()
+	d.add(d.fresh)
+	d.fresh = nil
+	return nil
+}
+
+// close frees all descriptors.
+func (d *descriptors) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || d.loops == nil {
+		return
+	}
+	d.closed = true
+	for _, fd := range slices.Concat([]int{d.source}, d.fresh, d.pending, d.takeConfirmed()) {
+		_ = syscall.Close(fd)
+	}
+	d.fresh, d.pending = nil, nil
+}
+
+// convert returns the engine's connection for conn and reports whether its descriptor is
+// confirmed.
+func (d *descriptors) convert(conn net.Conn) (c *nbio.Conn, confirmed bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.used = true
+	fd := -1
+	if lp := d.nextLoop(); lp != nil {
+		last := len(lp.confirmed) - 1
+		fd = lp.confirmed[last]
+		lp.confirmed = lp.confirmed[:last]
+		_ = syscall.Close(fd)
+	}
+	// All connections of the engine are converted under the lock, so no other one can have
+	// the descriptor in between.
+	c, err = nbio.NBConn(conn)
+	if err != nil {
+		return nil, false, err
+	}
+	d.loops[c.Hash()%len(d.loops)].last = c
+	return c, c.Hash() == fd, nil
+}
+
+// nextLoop returns the loop for the next connection, or nil if none has confirmed
+// descriptors. It is the first loop whose last connection has ended, which is likely to be
+// free and still on a processor, or else the next in turn.
+func (d *descriptors) nextLoop() *loopDescriptors {
+	for i := range d.loops {
+		if lp := &d.loops[i]; len(lp.confirmed) > 0 && lp.lastEnded() {
+			return lp
+		}
+	}
+	for range d.loops {
+		lp := &d.loops[d.turn]
+		d.turn = (d.turn + 1) % len(d.loops)
+		if len(lp.confirmed) > 0 {
+			return lp
+		}
+	}
+	return nil
+}
+
+// lastEnded reports whether the loop's last connection has ended, if it has had one.
+func (lp *loopDescriptors) lastEnded() bool {
+	if lp.last == nil {
+		return true
+	}
+	ended, _ := lp.last.IsClosed()
+	return ended
+}
+
+// prepare holds the free descriptors below those confirmed. If few are confirmed, it returns
+// those that loops must confirm.
+func (d *descriptors) prepare() []int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || !d.used {
+		return nil
+	}
+	d.used = false
+	confirmed, highest := 0, -1
+	for _, lp := range d.loops {
+		confirmed += len(lp.confirmed)
+		for _, fd := range lp.confirmed {
+			highest = max(highest, fd)
+		}
+	}
+	d.fillBelow(highest)
+	if confirmed >= minConfirmed || len(d.pending) > 0 {
+		return nil
+	}
+	d.fill()
+	d.pending, d.fresh = d.fresh, nil
+	return slices.Clone(d.pending)
+}
+
+// confirm records that no events of former connections with the descriptors are left.
+func (d *descriptors) confirm(fds []int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	d.pending = slices.DeleteFunc(d.pending, func(fd int) bool { return slices.Contains(fds, fd) })
+	d.add(fds)
+}
+
+// add adds confirmed descriptors.
+func (d *descriptors) add(fds []int) {
+	for _, fd := range fds {
+		lp := &d.loops[fd%len(d.loops)]
+		lp.confirmed = append(lp.confirmed, fd)
+	}
+}
+
+// takeConfirmed removes all confirmed descriptors.
+func (d *descriptors) takeConfirmed() []int {
+	var fds []int
+	for i := range d.loops {
+		fds = append(fds, d.loops[i].confirmed...)
+		d.loops[i].confirmed = nil
+	}
+	return fds
+}
+
+// fill holds free descriptors up to maxHeld.
+func (d *descriptors) fill() {
+	for d.hold() {
+	}
+}
+
+// fillBelow holds the free descriptors below fd, up to maxHeld in all.
+func (d *descriptors) fillBelow(fd int) {
+	for d.hold() {
+		if last := len(d.fresh) - 1; d.fresh[last] > fd {
+			_ = syscall.Close(d.fresh[last])
+			d.fresh = d.fresh[:last]
+			return
+		}
+	}
+}
+
+// hold holds the lowest free descriptor. It reports false if there is none, or if maxHeld
+// are held.
+func (d *descriptors) hold() bool {
+	held := len(d.fresh) + len(d.pending)
+	for _, lp := range d.loops {
+		held += len(lp.confirmed)
+	}
+	if held >= maxHeld {
+		return false
+	}
+	fd, err := syscall.Dup(d.source)
+	if err != nil {
+		return false
+	}
+	d.fresh = append(d.fresh, fd)
+	return true
+}
--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"dandelionstile/share/evloop"
@@ -51,7 +52,7 @@
 	Source string
 
 	engine *nbhttp.Engine
-	prober evloop.Prober
+	loops  evloop.Loops
 	done   chan struct{}
 }
 
@@ -60,11 +61,18 @@
 
 // Start starts the event loops.
 func (e *Engine) Start() error {
-	e.engine = nbhttp.NewEngine(nbhttp.Config{
+	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name: "fetch", NPoller: pollers, MaxHTTPBodySize: MaxReplyBytes, SupportServerOnly: false,
 	})
-	e.done = make(chan struct{})
-	return errors.Wrap(e.engine.Start(), "start http client")
+	err := engine.Start()
+	if err == nil {
+		err = e.loops.Open(engine.Engine, pollers)
+	}
+	if err != nil {
+		return errors.Wrap(err, "start http client")
+	}
+	e.engine, e.done = engine, make(chan struct{})
+	return nil
 }
 
 // Close closes all connections and waits for the event loops. Calls in flight end with
@@ -74,9 +82,7 @@
 		return nil
 	}
 	close(e.done)
-	if err := e.prober.AwaitLoops(e.engine.Engine, pollers); err != nil {
-		return errors.Wrap(err, "stop http client")
-	}
+	e.loops.Close()
 	e.engine.Stop()
 	return nil
 }
@@ -123,6 +129,7 @@
 			done(reply, err)
 		})
 	})
+	c.Engine.loops.Prepare()
 }
 
 // openClient returns the library's connection, which the first call creates and which opens
@@ -142,13 +149,19 @@
 	return c.client, true
 }
 
-// dial opens the connection; the library calls it.
+// dial opens the connection; the library calls it, and then adds the connection to the
+// engine. It waits until the connection can be added.
 func (c *Conn) dial(network, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, LocalAddr: SourceAddr(c.Engine.Source)}
 	conn, err := d.Dial(network, addr)
 	if err != nil {
 		return nil, err
 	}
+	added := make(chan *nbio.Conn, 1)
+	if err := c.Engine.loops.Add(conn, func(c *nbio.Conn) { added <- c }); err != nil {
+		return nil, err
+	}
+	conn = <-added
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.opened = true
--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -51,6 +51,13 @@
 	c.open[conn.RemoteAddr().String()] = &openConn{conn: conn, idleSince: time.Now()}
 }
 
+// count returns how many connections are open.
+func (c *conns) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 // withCancel returns the request with a context that ends when its caller closes
 // the connection.
 func (c *conns) withCancel(r *http.Request) (*http.Request, context.CancelFunc) {
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rs/zerolog"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/evloop"
@@ -47,6 +48,8 @@
 	// Limits.IdleTimeout.
 	engineIdleTimeout = 10 * time.Minute
 	writeTimeout      = 10 * time.Second
+	// acceptRetryDelay is the pause after a connection could not be accepted.
+	acceptRetryDelay = 50 * time.Millisecond
 	// maxHandlers bounds the handlers that run concurrently.
 	maxHandlers = 8192
 	// defaultPollers is how many event loops read connections: one more than
@@ -67,45 +70,43 @@
 	// OnRejected is called for each request that is outside the limits and does
 	// not reach the handler; it may be nil.
 	OnRejected func(remote string, status int)
+	// Log gets a line for each connection that could not be accepted, at most one in
+	// acceptRetryDelay. The zero value discards them.
+	Log zerolog.Logger
 
 	engine   *nbhttp.Engine
 	addr     net.Addr
-	listener *evloop.Listener
-	prober   evloop.Prober
+	listener net.Listener
+	loops    evloop.Loops
+	waiting  atomic.Int32 // accepted connections that the engine does not have yet
 	active   sync.WaitGroup
 	conns    conns
 	limits   atomic.Pointer[Limits]
 	buffers  sync.Pool
 	// pollers is how many event loops read connections; 0 takes the default.
-	pollers   int
-	stop      chan struct{}
-	sweepDone chan struct{}
+	pollers int
+	stop    chan struct{}
+	workers sync.WaitGroup // accept and sweep
 }
 
 // Start listens and serves. It opens the socket before it starts the engine: an
 // engine that finds its address in use stops itself before its event loops run
 // and then never returns, so the daemon would neither run nor fail.
 func (s *Server) Start() error {
-	maxConns := s.MaxConns
-	if maxConns == 0 {
-		maxConns = defaultMaxConns
-	}
 	s.SetLimits(s.Limits)
 	ln, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.Address)
 	}
-	s.addr = ln.Addr()
-	s.listener = evloop.NewListener(ln)
+	s.listener, s.addr = ln, ln.Addr()
+	pollers := cmp.Or(s.pollers, defaultPollers)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name: "httpd", Network: "tcp", Addrs: []string{s.addr.String()},
-		MaxLoad: maxConns, MaxHTTPBodySize: readLimitBytes, ReadLimit: readLimitBytes,
-		KeepaliveTime: engineIdleTimeout, WriteTimeout: writeTimeout, NPoller: cmp.Or(s.pollers, defaultPollers), NListener: 1,
+		Name: "httpd", MaxLoad: s.maxConns(), MaxHTTPBodySize: readLimitBytes, ReadLimit: readLimitBytes,
+		KeepaliveTime: engineIdleTimeout, WriteTimeout: writeTimeout, NPoller: pollers,
 		MessageHandlerPoolSize: maxHandlers,
 		Handler:                http.HandlerFunc(s.serve),
 		// Called when the request has been read, before its handler is scheduled.
 		OnRequest: func(_ http.ResponseWriter, r *http.Request) { s.conns.recordRequestRead(r.RemoteAddr) },
-		Listen:    func(string, string) (net.Listener, error) { return s.listener, nil },
 	})
 	s.engine.OnRead(s.onReadable)
 	s.engine.OnOpen(s.conns.add)
@@ -113,11 +114,18 @@
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "serve on %s", s.Address)
 	}
-	s.stop, s.sweepDone = make(chan struct{}), make(chan struct{})
-	go s.sweep()
+	if err := s.loops.Open(s.engine.Engine, pollers); err != nil {
+		return errors.CombineErrors(errors.Wrapf(err, "serve on %s", s.Address), ln.Close())
+	}
+	s.stop = make(chan struct{})
+	s.workers.Go(s.accept)
+	s.workers.Go(s.sweep)
 	return nil
 }
 
+// maxConns returns the limit on open connections.
+func (s *Server) maxConns() int { return cmp.Or(s.MaxConns, defaultMaxConns) }
+
 // SetLimits replaces the limits, also for open connections.
 func (s *Server) SetLimits(l Limits) {
 	l = l.withDefaults()
@@ -127,9 +135,46 @@
 // BodyLimit returns the current limit on request bodies, in bytes.
 func (s *Server) BodyLimit() int { return s.limits.Load().MaxBodyBytes }
 
+// accept accepts connections until Close.
+func (s *Server) accept() {
+	for {
+		s.loops.Prepare()
+		conn, err := s.listener.Accept()
+		if err == nil {
+			err = s.addConn(conn)
+		}
+		if err == nil {
+			continue
+		}
+		select {
+		case <-s.stop:
+			return
+		default:
+			s.Log.Warn().Err(err).Str("address", s.Addr()).Msg("accept-failed")
+			time.Sleep(acceptRetryDelay)
+		}
+	}
+}
+
+// addConn adds a connection to the engine, or closes it if there are too many.
+func (s *Server) addConn(conn net.Conn) error {
+	if s.conns.count()+int(s.waiting.Load()) >= s.maxConns() {
+		_ = conn.Close()
+		return nil
+	}
+	s.waiting.Add(1)
+	err := s.loops.Add(conn, func(c *nbio.Conn) {
+		s.waiting.Add(-1)
+		s.engine.AddConnNonTLSNonBlocking(&nbhttp.Conn{Conn: c}, nil, func() {})
+	})
+	if err != nil {
+		s.waiting.Add(-1)
+	}
+	return err
+}
+
 // sweep applies the time limits to all connections every sweepInterval, until Close.
 func (s *Server) sweep() {
-	defer close(s.sweepDone)
 	ticks := time.NewTicker(sweepInterval)
 	defer ticks.Stop()
 	for {
@@ -153,7 +198,7 @@
 // their work. After a pause of the host, requests and the ends of their
 // connections are found together; these requests are not handled.
 func (s *Server) onReadable(c *nbio.Conn) {
-	if s.prober.HandleProbe(c) {
+	if evloop.HandleWake(c) {
 		return
 	}
 	buf := s.getBuffer()
@@ -254,24 +299,18 @@
 func (s *Server) CloseIdle() { s.conns.closeIdle() }
 
 // Close waits for the requests in flight and stops the server. Requests that
-// arrive during Close may be cut off. It first waits until the engine accepts
-// connections and all event loops run, because an engine that is stopped earlier never
-// ends.
+// arrive during Close may be cut off.
 func (s *Server) Close() error {
-	if s.engine == nil {
+	if s.stop == nil {
 		return nil
 	}
-	if s.stop != nil {
-		close(s.stop)
-		<-s.sweepDone
-	}
 	s.active.Wait()
-	<-s.listener.Accepting()
-	if err := s.prober.AwaitLoops(s.engine.Engine, cmp.Or(s.pollers, defaultPollers)); err != nil {
-		return errors.Wrapf(err, "stop serving on %s", s.Address)
-	}
+	close(s.stop)
+	err := s.listener.Close()
+	s.workers.Wait()
+	s.loops.Close()
 	s.engine.Stop()
-	return nil
+	return errors.Wrapf(err, "stop serving on %s", s.Address)
 }
 
 // ReadJSON decodes a whole body into v. It returns ErrTooLarge for a body over the limit
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -83,7 +83,7 @@
 	s.pool = httpc.Pool{Dialect: s.Settings.Dialect, Source: s.Settings.SourceIP, Clock: s.Clock, OnDone: s.callDone, OnProbed: s.probeDone, OnConnRefused: s.connRefused}
 	s.server = httpd.Server{
 		Address: s.Settings.CallerAddress, Handler: s.wrap(s.serve),
-		OnRejected: s.requestRejected,
+		OnRejected: s.requestRejected, Log: s.Log,
 	}
 	go s.loop()
 	if err := s.server.Start(); err != nil {
@@ -92,7 +92,7 @@
 	if s.Settings.GossipAddress == "" {
 		return nil
 	}
-	s.forwards = httpd.Server{Address: s.Settings.ForwardAddress, Handler: s.wrap(s.serveForwarded)}
+	s.forwards = httpd.Server{Address: s.Settings.ForwardAddress, Handler: s.wrap(s.serveForwarded), Log: s.Log}
 	if err := s.forwards.Start(); err != nil {
 		return errors.CombineErrors(err, s.server.Close())
 	}
