httpd: check only open connections for unread bytes

Nobody is known to have been hit. The check then peeked at a descriptor that belonged to another socket, and clears that socket's pending error: its owner would not learn that the connection was refused.

The check holds the connection's lock now and skips closed ones; the library closes the descriptor only after it has marked the connection as closed under the lock.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/lesismal/nbio"
 )
 
 // idleGrace is how long a connection must be without a request before it counts as
@@ -153,17 +155,22 @@
 // hasUnread reports whether the socket has bytes to read. If it has, the request
 // has arrived even if a delayed event loop has not read it yet.
 func (o *openConn) hasUnread() bool {
-	c, ok := o.conn.(syscall.Conn)
+	c, ok := o.conn.(*nbio.Conn)
 	if !ok {
 		return false
 	}
+	// A connection that is closed meanwhile would free its descriptor for another socket, and
+	// a read clears the error that a socket has for its owner.
+	c.Lock()
+	defer c.Unlock()
+	if closed, _ := c.IsClosed(); closed {
+		return false
+	}
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
 	unread := false
-	// If the connection is closed meanwhile, the descriptor may belong to another
-	// connection. The result does not matter then.
 	err = raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		unread = err == nil && n > 0
