httpd: close no connection that is being added

A process that leaves might not end. The server knows a connection before the library has added it to a loop. Nobody is known to have been hit.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -20,6 +20,9 @@
 type conns struct {
 	mu   sync.Mutex
 	open map[string]*openConn
+	// adding has the connections that the engine is adding. It counts one that is closed
+	// before it has been added as open for ever.
+	adding map[net.Conn]struct{}
 }
 
 // openConn is the state of one connection and of its last request.
@@ -53,6 +56,29 @@
 	c.open[conn.RemoteAddr().String()] = &openConn{conn: conn, idleSince: time.Now()}
 }
 
+// beginAdd keeps a connection from being closed as idle or stalled until endAdd.
+func (c *conns) beginAdd(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.adding == nil {
+		c.adding = map[net.Conn]struct{}{}
+	}
+	c.adding[conn] = struct{}{}
+}
+
+// endAdd ends beginAdd.
+func (c *conns) endAdd(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.adding, conn)
+}
+
+// isAdding reports whether the engine is adding the connection. The lock must be held.
+func (c *conns) isAdding(o *openConn) bool {
+	_, ok := c.adding[o.conn]
+	return ok
+}
+
 // count returns how many connections are open.
 func (c *conns) count() int {
 	c.mu.Lock()
@@ -184,7 +210,7 @@
 	c.mu.Lock()
 	var idle []net.Conn
 	for _, o := range c.open {
-		if o.requests == 0 && time.Since(o.idleSince) >= idleGrace && !o.hasUnread() {
+		if !c.isAdding(o) && o.requests == 0 && time.Since(o.idleSince) >= idleGrace && !o.hasUnread() {
 			idle = append(idle, o.conn)
 		}
 	}
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -165,6 +165,8 @@
 	s.waiting.Add(1)
 	err := s.loops.Add(conn, func(c *nbio.Conn) {
 		s.waiting.Add(-1)
+		s.conns.beginAdd(c)
+		defer s.conns.endAdd(c)
 		s.engine.AddConnNonTLSNonBlocking(&nbhttp.Conn{Conn: c}, nil, func() {})
 	})
 	if err != nil {
--- a/share/httpd/httpd_test.go
+++ b/share/httpd/httpd_test.go
@@ -143,3 +143,32 @@
 	c.recordPeerClosed(next)
 	assert.ErrorIs(t, r.Context().Err(), context.Canceled)
 }
+
+// CloseIdle closes a connection that was recorded, but that the engine has not added yet, on a
+// host that paused in between. The engine counts it as open from then on, and Close would
+// never return.
+func TestCloseReturnsAfterIdleCloseDuringAccept(t *testing.T) {
+	s := &Server{Address: "127.0.0.1:0", Handler: http.NotFoundHandler()}
+	assert.NilError(t, s.Start())
+	accepted, accept := make(chan struct{}), make(chan struct{})
+	s.engine.OnOpen(func(c net.Conn) {
+		s.conns.add(c)
+		close(accepted)
+		<-accept
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	<-accepted
+	time.Sleep(2 * idleGrace) // until the connection counts as idle
+	s.CloseIdle()
+	close(accept)
+	closed := make(chan error, 1)
+	go func() { closed <- s.Close() }()
+	select {
+	case err := <-closed:
+		assert.NilError(t, err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("Close did not return")
+	}
+}
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -131,6 +131,9 @@
 	var expired []net.Conn
 	c.mu.Lock()
 	for _, o := range c.open {
+		if c.isAdding(o) {
+			continue
+		}
 		switch l.nextAction(o, now) {
 		case closeConn:
 			expired = append(expired, o.conn)
