soak: check that new connections get an answer

Callers kept their connections, so the soak could not see that new ones are closed without an answer. Bursts of short connections to each host now cross callers' half-closes with the host's own close, and CLOSED reports a first request that gets no answer from a host that stays.

--- a/soak/runner/check.go
+++ b/soak/runner/check.go
@@ -86,7 +86,8 @@
 // checkRequest checks that an update runs at most once, and not at all if it got
 // a 503. It also checks requests without an answer, unless a fault of the host
 // explains them: the host must not hold one past its deadline, nor forward one and
-// then close its connection because it shuts down.
+// then close its connection because it shuts down. Unless it shuts down, it must not close
+// a new connection without an answer.
 func (t *testbed) checkRequest(r *request, trace *requestTrace) {
 	update := strings.HasPrefix(r.path, "/set/")
 	if update && trace.runCount > 1 {
@@ -106,6 +107,10 @@
 	if trace.runCount > 0 && r.host.wasTerminating(r.sent, r.ended) {
 		t.results.addViolation("LOST: %s was forwarded by %s, which was shutting down, and closed without an answer after %s", r.id, r.host.name, elapsed)
 	}
+	// The connection was opened up to the dial timeout of one second before the request.
+	if !r.reused && !r.host.wasTerminating(r.sent.Add(-time.Second), r.ended) {
+		t.results.addViolation("CLOSED: %s was the first request of its connection to %s, which was closed without an answer after %s", r.id, r.host.name, elapsed)
+	}
 }
 
 // hadFaultDuring reports whether a fault of the host explains that a request got
--- a/soak/runner/client.go
+++ b/soak/runner/client.go
@@ -129,15 +129,21 @@
 	}
 }
 
-// sendOnce makes one attempt, and checks the answer if it is successful, and that no bytes
-// follow any answer. It returns nil if it could not connect.
+// sendOnce makes one attempt. It returns nil if it could not connect.
 func (c *caller) sendOnce(path string) *request {
 	reused := c.conn != nil
 	if !reused && !c.connect() {
 		return nil
 	}
-	r := c.newRequest(path)
+	r := c.exchange(path)
 	r.reused = reused
+	return r
+}
+
+// exchange sends a request on the open connection. It checks the answer if it is successful,
+// and that no bytes follow any answer.
+func (c *caller) exchange(path string) *request {
+	r := c.newRequest(path)
 	_ = c.conn.SetDeadline(r.sent.Add(callerTimeout + lateTolerance)) // cannot fail on an open connection
 	_, err := io.WriteString(c.conn, fake.RequestText(hostHeader, path, r.id, callerTimeout))
 	var got reply
@@ -187,7 +193,11 @@
 	if len(hosts) == 0 {
 		hosts = c.testbed.hosts
 	}
-	h := hosts[c.rand.IntN(len(hosts))]
+	return c.connectTo(hosts[c.rand.IntN(len(hosts))])
+}
+
+// connectTo opens a connection to a host and reports whether it succeeded.
+func (c *caller) connectTo(h *host) bool {
 	conn, err := net.DialTimeout("tcp", h.ip+fake.CallerPort, time.Second)
 	if err != nil {
 		time.Sleep(20 * time.Millisecond)
@@ -201,15 +211,20 @@
 func (t *testbed) readyHosts() []*host {
 	var list []*host
 	for _, h := range t.hosts {
-		h.mu.Lock()
-		if h.ready {
+		if h.inRotation() {
 			list = append(list, h)
 		}
-		h.mu.Unlock()
 	}
 	return list
 }
 
+// inRotation reports whether the load balancer would open connections to the host.
+func (h *host) inRotation() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ready
+}
+
 // pollReadiness polls the readiness of a host. Two failed polls in a row take it out
 // of rotation, and a successful one puts it back.
 func (t *testbed) pollReadiness(h *host) {
--- a/soak/runner/fault.go
+++ b/soak/runner/fault.go
@@ -35,9 +35,10 @@
 	if err := t.start(); err != nil {
 		return Report{}, err
 	}
-	for _, h := range t.hosts {
+	for i, h := range t.hosts {
 		t.wait.Go(func() { t.pollReadiness(h) })
 		t.wait.Go(func() { t.probe(h) })
+		t.wait.Go(func() { t.sendBursts(h, rand.New(rand.NewPCG(t.Seed, uint64(1000+i)))) })
 	}
 	callers := max(4, t.Rate/4)
 	for i := range callers {
