--- a/share/evloop/evloop_test.go
+++ b/share/evloop/evloop_test.go
@@ -223,3 +223,27 @@
 	assert.ErrorIs(t, err, io.EOF)
 	g.Stop()
 }
+
+// Connections that stay open must be spread over the loops. Otherwise one large request
+// would delay all of them.
+func TestOpenConnectionsAreSpread(t *testing.T) {
+	const loops, conns = 2, 20
+	g, l := startEngine(t, loops)
+	var perLoop [loops]int
+	var open []*nbio.Conn
+	for range conns {
+		_, server := dialLocal(t)
+		added := make(chan *nbio.Conn, 1)
+		assert.NilError(t, l.Add(server, func(c *nbio.Conn) { added <- c }))
+		c := <-added
+		open = append(open, c)
+		perLoop[c.Hash()%loops]++
+		l.Prepare()
+	}
+	assert.Equal(t, perLoop, [loops]int{conns / loops, conns / loops})
+	for _, c := range open {
+		assert.NilError(t, c.Close())
+	}
+	l.Close()
+	g.Stop()
+}
