fetch: open connections outside the library's lock

Conn dials and waits before it calls the library, under no lock, and hands the open connection over. A call whose connection was closed before that is told that nothing was sent.

--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -54,6 +54,8 @@
 	engine *nbhttp.Engine
 	loops  evloop.Loops
 	done   chan struct{}
+	// sending is held while a call uses the library's engine, which must not stop then.
+	sending sync.RWMutex
 }
 
 // pollers is the number of event loops that drive connections.
@@ -82,6 +84,8 @@
 		return nil
 	}
 	close(e.done)
+	e.sending.Lock() // waits for calls that are being sent; later ones see done
+	defer e.sending.Unlock()
 	e.loops.Close()
 	e.engine.Stop()
 	return nil
@@ -103,25 +107,70 @@
 	Engine *Engine
 	// Address is the IP and port of the server.
 	Address string
-	// OnClose is called once either side has closed the connection; it may be
-	// nil. It must not call the Conn.
+	// OnClose is called once either side has closed the connection, or it could not be
+	// opened; it may be nil. It must not call the Conn.
 	OnClose func()
 
 	mu     sync.Mutex
 	client *nbhttp.ClientConn
-	opened bool // the connection was open once, so a request may have been sent
+	dialed net.Conn // open, and not yet taken by client
+	opened bool     // client has taken the connection, so a request may have been sent
 	closed bool
 }
 
 // Do sends a request and calls done once, from another goroutine, or at once with
-// ErrNotOpened if the Conn or its engine is closed. It may block until the connection is
-// open.
+// ErrNotOpened if the connection can't be opened, or the Conn or its engine is closed. It may
+// block until the connection is open.
 func (c *Conn) Do(r *http.Request, done func(Reply, error)) {
-	client, ok := c.openClient()
-	if !ok {
+	conn, err := c.dial()
+	if err != nil {
+		done(Reply{}, errors.Mark(errors.Wrap(err, "open connection"), ErrNotOpened))
+		if c.OnClose != nil {
+			c.OnClose()
+		}
+		return
+	}
+	if !c.send(conn, r, done) {
 		done(Reply{}, ErrNotOpened)
 		return
 	}
+	c.Engine.loops.Prepare()
+}
+
+// dial opens a connection for the engine unless there is one. It holds no lock, so that the
+// Conn can be closed meanwhile.
+func (c *Conn) dial() (net.Conn, error) {
+	if !c.mustDial() {
+		return nil, nil
+	}
+	d := net.Dialer{Timeout: dialTimeout, LocalAddr: SourceAddr(c.Engine.Source)}
+	conn, err := d.Dial("tcp", c.Address)
+	if err != nil {
+		return nil, err
+	}
+	added := make(chan net.Conn, 1)
+	if err := c.Engine.loops.Add(conn, func(c *nbio.Conn) { added <- c }); err != nil {
+		return nil, err
+	}
+	return <-added, nil
+}
+
+// mustDial reports whether a call has to open the connection.
+func (c *Conn) mustDial() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.client == nil && !c.closed && !c.Engine.isClosed()
+}
+
+// send sends a request over conn, or over the open connection if there is one. It reports
+// false if the Conn or its engine is closed.
+func (c *Conn) send(conn net.Conn, r *http.Request, done func(Reply, error)) bool {
+	c.Engine.sending.RLock()
+	defer c.Engine.sending.RUnlock()
+	client, ok := c.openClient(conn)
+	if !ok {
+		return false
+	}
 	var once sync.Once
 	client.Do(r, func(res *http.Response, _ net.Conn, err error) {
 		once.Do(func() {
@@ -129,19 +178,24 @@
 			done(reply, err)
 		})
 	})
-	c.Engine.loops.Prepare()
+	return true
 }
 
-// openClient returns the library's connection, which the first call creates and which opens
-// when it is used. The result is false if the Conn or its engine is closed.
-func (c *Conn) openClient() (*nbhttp.ClientConn, bool) {
+// openClient returns the library's connection, which uses conn if it is new. Otherwise conn,
+// if there is one, is closed. The result is false if the Conn or its engine is closed.
+func (c *Conn) openClient(conn net.Conn) (*nbhttp.ClientConn, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.Engine.isClosed() {
+	closed := c.closed || c.Engine.isClosed()
+	if conn != nil && (closed || c.client != nil) {
+		_ = conn.Close() // not used
+	}
+	if closed {
 		return nil, false
 	}
 	if c.client == nil {
-		c.client = &nbhttp.ClientConn{Engine: c.Engine.engine, Dial: c.dial}
+		c.dialed = conn
+		c.client = &nbhttp.ClientConn{Engine: c.Engine.engine, Dial: c.takeDialed}
 		if c.OnClose != nil {
 			c.client.OnClose(c.OnClose)
 		}
@@ -149,22 +203,16 @@
 	return c.client, true
 }
 
-// dial opens the connection; the library calls it, and then adds the connection to the
-// engine. It waits until the connection can be added.
-func (c *Conn) dial(network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, LocalAddr: SourceAddr(c.Engine.Source)}
-	conn, err := d.Dial(network, addr)
-	if err != nil {
-		return nil, err
-	}
-	added := make(chan *nbio.Conn, 1)
-	if err := c.Engine.loops.Add(conn, func(c *nbio.Conn) { added <- c }); err != nil {
-		return nil, err
-	}
-	conn = <-added
+// takeDialed returns the open connection; the library calls it, and then adds the connection
+// to the engine.
+func (c *Conn) takeDialed(string, string) (net.Conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.opened = true
+	if c.dialed == nil {
+		return nil, ErrConnLost
+	}
+	conn := c.dialed
+	c.dialed, c.opened = nil, true
 	return conn, nil
 }
 
@@ -204,12 +252,16 @@
 	return reply, nil
 }
 
-// Close closes the connection. A call in flight ends with ErrConnLost. Close must not be
-// called from within done.
+// Close closes the connection. A call in flight ends with ErrConnLost, or with ErrNotOpened
+// if the connection was not open yet. Close must not be called from within done.
 func (c *Conn) Close() {
 	c.mu.Lock()
 	client := c.client
 	c.closed = true
+	if c.dialed != nil {
+		_ = c.dialed.Close() // nothing was sent
+		c.dialed = nil
+	}
 	c.mu.Unlock()
 	if client != nil {
 		client.Close()
