evloop: leave half of the descriptors to others, and say more

Descriptors beyond half of what the process may open are not held any more; connections then wait for their loops.

A wake that could not be written is tried again by the next call instead of never.

--- a/share/evloop/evloop.go
+++ b/share/evloop/evloop.go
@@ -3,8 +3,8 @@
 // A loop asks the kernel for a batch of events and then finds the connection of each by its
 // descriptor. If another goroutine closes a connection in between, the loop hands its event to
 // the connection that has the descriptor by then, and the end of the former connection
-// closes the new one. A connection is therefore added only with a descriptor that was free
-// when its loop last asked for a batch.
+// closes the new one. A connection is therefore added only with a descriptor that no other
+// connection of the engine has had since its loop last asked for a batch.
 package evloop
 
 import (
@@ -50,8 +50,8 @@
 	return nil
 }
 
-// Close waits until each loop has added the connections that it was given. Connections
-// that come later are closed. The engine must be stopped after it, and not before: a loop
+// Close waits until each loop has called add for the connections that it was given.
+// Connections that come later are closed. The engine must be stopped after it, and not before: a loop
 // clears its stop flag when it begins, so an engine that is stopped earlier never ends.
 func (l *Loops) Close() {
 	l.held.close()
@@ -60,9 +60,9 @@
 	}
 }
 
-// Add takes over conn and calls add with the engine's connection for it: at once if a
-// descriptor is prepared, otherwise from its event loop. After Close, it closes conn and
-// returns ErrClosed.
+// Add takes over conn and calls add with the engine's connection for it: at once if it got a
+// confirmed descriptor, otherwise from its event loop. After Close, it closes conn and returns
+// ErrClosed.
 func (l *Loops) Add(conn net.Conn, add func(*nbio.Conn)) error {
 	c, confirmed, err := l.held.convert(conn)
 	if err != nil {
@@ -79,7 +79,8 @@
 }
 
 // Prepare holds descriptors for the next connections, so that they need not wait for their
-// loops. It does not wait.
+// loops. It is called after Add, when nobody waits for the connection any more, and does not
+// wait itself.
 func (l *Loops) Prepare() {
 	byLoop := map[*loop][]int{}
 	for _, fd := range l.held.prepare() {
--- a/share/evloop/held.go
+++ b/share/evloop/held.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// maxHeld bounds the descriptors that are held for an engine.
-	maxHeld = 128
+	// maxHeld bounds the descriptors that are held for an engine, and maxHeldShare those of
+	// all engines, as a share of what the process may open.
+	maxHeld      = 128
+	maxHeldShare = 0.5
 	// minConfirmed is the number of confirmed ones below which loops confirm others.
 	minConfirmed = maxHeld / 4
 )
@@ -23,6 +25,7 @@
 type descriptors struct {
 	mu     sync.Mutex
 	source int // held descriptors are copies of it
+	limit  int // descriptors from here on are not held
 	closed bool
 	used   bool // by a connection since the last call of prepare
 	// fresh ones may have events, pending ones wait for their loops. Confirmed ones are
@@ -43,6 +46,11 @@
 func (d *descriptors) open(fd, loops int) (err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	d.limit = int(maxHeldShare * float64(limit.Cur))
 	if d.source, err = syscall.Dup(fd); err != nil {
 		return err
 	}
@@ -80,8 +88,8 @@
 		lp.confirmed = lp.confirmed[:last]
 		_ = syscall.Close(fd)
 	}
-	// All connections of the engine are converted under the lock, so no other one can have
-	// the descriptor in between.
+	// All connections of the engine are converted under the lock, so the same number means
+	// that no other one has had it in between.
 	c, err = nbio.NBConn(conn)
 	if err != nil {
 		return nil, false, err
@@ -118,8 +126,8 @@
 	return ended
 }
 
-// prepare holds the free descriptors below those confirmed. If few are confirmed, it returns
-// those that loops must confirm.
+// prepare holds the free descriptors below those confirmed. If few are confirmed and none
+// are pending, it returns those that loops must confirm.
 func (d *descriptors) prepare() []int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -189,8 +197,8 @@
 	}
 }
 
-// hold holds the lowest free descriptor. It reports false if there is none, or if maxHeld
-// are held.
+// hold holds the lowest free descriptor. It reports false if there is none below the limit,
+// or if maxHeld are held.
 func (d *descriptors) hold() bool {
 	held := len(d.fresh) + len(d.pending)
 	for _, lp := range d.loops {
@@ -203,6 +211,10 @@
 	if err != nil {
 		return false
 	}
+	if fd >= d.limit {
+		_ = syscall.Close(fd)
+		return false
+	}
 	d.fresh = append(d.fresh, fd)
 	return true
 }
--- a/share/evloop/loop.go
+++ b/share/evloop/loop.go
@@ -20,12 +20,14 @@
 	closed bool
 	woken  bool // a byte is under way
 	// Functions wait in next until a byte arrives. The loop may have asked for that batch
-	// before they came, so they then wait in due for another byte.
+	// before they came, so they then wait in due for another byte. It is written while the
+	// loop handles the first one, so only a batch that it asks for later can have it.
 	next, due []func()
 }
 
 // HandleWake handles an event of a loop's own connection and reports whether c is one. An
-// engine's OnRead handler, if there is one, must call it first.
+// engine's OnRead handler must call it first. An engine without one must pass data to the
+// DataHandler of the connection, as nbhttp does.
 func HandleWake(c *nbio.Conn) bool {
 	lp, ok := c.Session().(*loop)
 	if !ok {
@@ -79,8 +81,8 @@
 	if lp.woken || len(lp.next)+len(lp.due) == 0 {
 		return
 	}
-	lp.woken = true
-	_, _ = syscall.Write(lp.peer, []byte{0}) // the socket has room for the only byte
+	_, err := syscall.Write(lp.peer, []byte{0}) // the socket has room for the only byte
+	lp.woken = err == nil                       // otherwise the next call tries again
 }
 
 // newLoop returns a loop whose connection is not added to an engine yet.
@@ -102,7 +104,7 @@
 	}
 	lp := &loop{conn: c, peer: pair[1]}
 	c.SetSession(lp)
-	c.OnData(func(*nbio.Conn, []byte) { lp.run() }) // without an OnRead handler
+	c.OnData(func(*nbio.Conn, []byte) { lp.run() }) // if the engine has no OnRead handler
 	return lp, nil
 }
 
