--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -86,13 +86,23 @@
 	return len(c.open)
 }
 
-// withCancel returns the request with a context that ends when its caller closes
+// find returns the state of a connection. It is nil if the connection is closed, or if
+// another one has the same address by then. The lock must be held.
+func (c *conns) find(conn net.Conn) *openConn {
+	o := c.open[conn.RemoteAddr().String()]
+	if o == nil || o.conn != conn {
+		return nil
+	}
+	return o
+}
+
+// withCancel returns a connection's request with a context that ends when its caller closes
 // the connection.
-func (c *conns) withCancel(r *http.Request) (*http.Request, context.CancelFunc) {
+func (c *conns) withCancel(r *http.Request, conn net.Conn) (*http.Request, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(r.Context())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.open[r.RemoteAddr]; o != nil {
+	if o := c.find(conn); o != nil {
 		o.cancel = cancel
 		if o.peerClosed {
 			cancel()
@@ -102,13 +112,12 @@
 }
 
 // recordPeerClosed records that the caller has closed a connection, and cancels the request
-// that is being handled on it. It does nothing if another connection has the same address by
-// then.
+// that is being handled on it.
 func (c *conns) recordPeerClosed(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.open[conn.RemoteAddr().String()]
-	if o == nil || o.conn != conn {
+	o := c.find(conn)
+	if o == nil {
 		return
 	}
 	o.peerClosed = true
@@ -118,23 +127,22 @@
 }
 
 // remove removes a connection, which the library reports as closed once its last request has
-// been handled. It does nothing if another connection has the same address by then.
+// been handled.
 func (c *conns) remove(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	remote := conn.RemoteAddr().String()
-	if o := c.open[remote]; o != nil && o.conn == conn {
-		delete(c.open, remote)
+	if c.find(conn) != nil {
+		delete(c.open, conn.RemoteAddr().String())
 	}
 }
 
 // recordRequestRead records that a request has been read completely. The library calls
 // it before it schedules the handler: a busy host may run the handler tens of ms
 // later, and closing the connection in between would lose the request.
-func (c *conns) recordRequestRead(remote string) {
+func (c *conns) recordRequestRead(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.open[remote]; o != nil {
+	if o := c.find(conn); o != nil {
 		o.requests++
 		o.requestStarted = time.Time{}
 		o.bytes = 0
@@ -144,11 +152,11 @@
 // recordBytes records n bytes of a request and reports whether they are to be parsed.
 // They are not if the request has been rejected, or if they make it larger than the
 // limits allow; then status is the one to reject it with, and otherwise 0.
-func (c *conns) recordBytes(remote string, n int, l Limits) (status int, accepted bool) {
+func (c *conns) recordBytes(conn net.Conn, n int, l Limits) (status int, accepted bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.open[remote]
+	o := c.find(conn)
 	if o == nil {
 		return 0, true
 	}
@@ -168,10 +176,10 @@
 
 // recordRequestDone records that the handler of a request has returned. The connection is
 // idle from then on unless it has another request.
-func (c *conns) recordRequestDone(remote string) {
+func (c *conns) recordRequestDone(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.open[remote]; o != nil {
+	if o := c.find(conn); o != nil {
 		o.requests--
 		o.cancel = nil
 		o.idleSince = time.Now()
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -106,7 +106,7 @@
 		MessageHandlerPoolSize: maxHandlers,
 		Handler:                http.HandlerFunc(s.serve),
 		// Called when the request has been read, before its handler is scheduled.
-		OnRequest: func(_ http.ResponseWriter, r *http.Request) { s.conns.recordRequestRead(r.RemoteAddr) },
+		OnRequest: func(w http.ResponseWriter, _ *http.Request) { s.conns.recordRequestRead(connOf(w)) },
 	})
 	s.engine.OnRead(s.onReadable)
 	s.engine.OnOpen(s.conns.add)
@@ -251,7 +251,7 @@
 // recordBytes records n bytes of a request and reports whether to parse them. If they
 // make the request too large, it rejects the request.
 func (s *Server) recordBytes(conn net.Conn, n int) bool {
-	status, accepted := s.conns.recordBytes(conn.RemoteAddr().String(), n, *s.limits.Load())
+	status, accepted := s.conns.recordBytes(conn, n, *s.limits.Load())
 	if status != 0 {
 		s.reject(conn, status)
 	}
@@ -271,18 +271,24 @@
 	}
 }
 
+// connOf returns the connection that the library writes an answer to.
+func connOf(w http.ResponseWriter) net.Conn {
+	return w.(*nbhttp.Response).Parser.Conn.(*nbhttp.Conn).Conn
+}
+
 // serve handles one request: it enforces the limits and calls the handler.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Done()
-	defer s.conns.recordRequestDone(r.RemoteAddr)
+	conn := connOf(w)
+	defer s.conns.recordRequestDone(conn)
 	if status := s.limits.Load().checkRequest(r); status != 0 {
 		s.reportRejected(r.RemoteAddr, status)
 		w.Header().Set("Connection", "close")
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
-	r, cancel := s.conns.withCancel(r)
+	r, cancel := s.conns.withCancel(r, conn)
 	defer cancel()
 	s.Handler.ServeHTTP(w, r)
 }
