evloop: release held descriptors when the process has no others

Servers and clients free what they hold when Accept or Dial fails for want of descriptors, and hold none for 10 s.

--- a/share/evloop/evloop.go
+++ b/share/evloop/evloop.go
@@ -9,6 +9,7 @@
 
 import (
 	"net"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
@@ -82,13 +83,22 @@
 // loops. It is called after Add, when nobody waits for the connection any more, and does not
 // wait itself.
 func (l *Loops) Prepare() {
+	held, round := l.held.prepare()
 	byLoop := map[*loop][]int{}
-	for _, fd := range l.held.prepare() {
+	for _, fd := range held {
 		lp := l.loopOf(fd)
 		byLoop[lp] = append(byLoop[lp], fd)
 	}
 	for lp, fds := range byLoop {
-		lp.call(func() { l.held.confirm(fds) })
+		lp.call(func() { l.held.confirm(fds, round) })
+	}
+}
+
+// Release frees the held descriptors for a while if err says that the process or the
+// system has run out of them.
+func (l *Loops) Release(err error) {
+	if errors.IsAny(err, syscall.EMFILE, syscall.ENFILE) {
+		l.held.release()
 	}
 }
 
--- a/share/evloop/evloop_test.go
+++ b/share/evloop/evloop_test.go
@@ -182,6 +182,7 @@
 			}
 		}()
 		var pending []int
+		round := 0
 		t.Repeat(map[string]func(*rapid.T){
 			"connect": func(t *rapid.T) {
 				c, confirmed, err := d.convert(unixConn(t))
@@ -198,12 +199,23 @@
 				assert.NilError(t, open[i].Close())
 				open = slices.Delete(open, i, i+1)
 			},
-			"prepare": func(*rapid.T) { pending = append(pending, d.prepare()...) },
+			"prepare": func(*rapid.T) {
+				fds, now := d.prepare()
+				if len(fds) > 0 {
+					pending, round = fds, now
+				}
+			},
+			"release": func(*rapid.T) {
+				d.release()
+				d.resume = time.Time{}
+			},
 			"confirm": func(*rapid.T) {
-				for _, fd := range pending {
-					delete(ended, fd)
+				if round == d.round {
+					for _, fd := range pending {
+						delete(ended, fd)
+					}
 				}
-				d.confirm(pending)
+				d.confirm(pending, round)
 				pending = nil
 			},
 		})
--- a/share/evloop/held.go
+++ b/share/evloop/held.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
@@ -16,6 +17,8 @@
 	maxHeldShare = 0.5
 	// minConfirmed is the number of confirmed ones below which loops confirm others.
 	minConfirmed = maxHeld / 4
+	// releasePause is how long none are held after the process has run out of descriptors.
+	releasePause = 10 * time.Second
 )
 
 // descriptors holds free descriptors until their loops confirm that no events of former
@@ -28,6 +31,10 @@
 	limit  int // descriptors from here on are not held
 	closed bool
 	used   bool // by a connection since the last call of prepare
+	// round counts the calls of release. Descriptors from an earlier one are not held any
+	// more. None are held until resume.
+	round  int
+	resume time.Time
 	// fresh ones may have events, pending ones wait for their loops. Confirmed ones are
 	// in loops, by the number of the loop.
 	fresh, pending []int
@@ -69,7 +76,25 @@
 		return
 	}
 	d.closed = true
-	for _, fd := range slices.Concat([]int{d.source}, d.fresh, d.pending, d.takeConfirmed()) {
+	_ = syscall.Close(d.source)
+	d.free()
+}
+
+// release frees all descriptors and holds none for releasePause.
+func (d *descriptors) release() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	d.round++
+	d.resume = time.Now().Add(releasePause)
+	d.free()
+}
+
+// free frees the held descriptors.
+func (d *descriptors) free() {
+	for _, fd := range slices.Concat(d.fresh, d.pending, d.takeConfirmed()) {
 		_ = syscall.Close(fd)
 	}
 	d.fresh, d.pending = nil, nil
@@ -127,12 +152,12 @@
 }
 
 // prepare holds the free descriptors below those confirmed. If few are confirmed and none
-// are pending, it returns those that loops must confirm.
-func (d *descriptors) prepare() []int {
+// are pending, it returns those that loops must confirm, with the round for confirm.
+func (d *descriptors) prepare() (fds []int, round int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed || !d.used {
-		return nil
+	if d.closed || !d.used || time.Now().Before(d.resume) {
+		return nil, d.round
 	}
 	d.used = false
 	confirmed, highest := 0, -1
@@ -144,18 +169,19 @@
 	}
 	d.fillBelow(highest)
 	if confirmed >= minConfirmed || len(d.pending) > 0 {
-		return nil
+		return nil, d.round
 	}
 	d.fill()
 	d.pending, d.fresh = d.fresh, nil
-	return slices.Clone(d.pending)
+	return slices.Clone(d.pending), d.round
 }
 
-// confirm records that no events of former connections with the descriptors are left.
-func (d *descriptors) confirm(fds []int) {
+// confirm records that no events of former connections are left with the descriptors, which
+// were prepared in a round.
+func (d *descriptors) confirm(fds []int, round int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed {
+	if d.closed || d.round != round {
 		return
 	}
 	d.pending = slices.DeleteFunc(d.pending, func(fd int) bool { return slices.Contains(fds, fd) })
--- a/share/evloop/limit_test.go
+++ b/share/evloop/limit_test.go
@@ -4,7 +4,9 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
 	"gotest.tools/v3/assert"
 )
@@ -35,3 +37,33 @@
 	assert.NilError(t, err)
 	assert.NilError(t, f.Close())
 }
+
+// openDescriptors returns how many descriptors the process has open.
+func openDescriptors(t *testing.T) int {
+	t.Helper()
+	entries, err := os.ReadDir("/proc/self/fd")
+	assert.NilError(t, err)
+	return len(entries)
+}
+
+// A process runs out of descriptors. Those that are held must be freed, and not be taken again
+// at once, or it could accept and open nothing.
+func TestHeldDescriptorsAreReleased(t *testing.T) {
+	g, l := startEngine(t, 2)
+	t.Cleanup(func() {
+		l.Close()
+		g.Stop()
+	})
+	before := openDescriptors(t)
+	l.Release(errors.Wrap(os.NewSyscallError("accept4", syscall.EMFILE), "accept"))
+	assert.Equal(t, openDescriptors(t), before-maxHeld)
+	_, conn := dialLocal(t)
+	added := make(chan *nbio.Conn, 1)
+	assert.NilError(t, l.Add(conn, func(c *nbio.Conn) { added <- c }))
+	l.Prepare()
+	assert.NilError(t, (<-added).Close())
+	assert.Assert(t, openDescriptors(t) < before-maxHeld/2)
+	l.held.resume = time.Now()
+	l.Prepare()
+	assert.Assert(t, openDescriptors(t) >= before)
+}
--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -146,6 +146,7 @@
 	d := net.Dialer{Timeout: dialTimeout, LocalAddr: SourceAddr(c.Engine.Source)}
 	conn, err := d.Dial("tcp", c.Address)
 	if err != nil {
+		c.Engine.loops.Release(err)
 		return nil, err
 	}
 	added := make(chan net.Conn, 1)
--- a/share/httpd/closers_test.go
+++ b/share/httpd/closers_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,10 +29,9 @@
 		t.Cleanup(release[i])
 	}
 	second := make(chan struct{})
-	reads := 0
+	var reads atomic.Int32
 	s.engine.OnRead(func(c *nbio.Conn) {
-		if n := reads; n < len(gates) {
-			reads++
+		if n := int(reads.Add(1)) - 1; n < len(gates) {
 			if n == 1 {
 				close(second)
 			}
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -151,6 +151,7 @@
 			return
 		default:
 			s.Log.Warn().Err(err).Str("address", s.Addr()).Msg("accept-failed")
+			s.loops.Release(err)
 			time.Sleep(acceptRetryDelay)
 		}
 	}
