evloop: confirm the descriptors of each loop as one

A loop that confirms its held descriptors compared each with all pending ones, in the event loop. They are kept by loop now. Fewer refills: below 16 confirmed instead of 32, so that fewer than one connection in a hundred comes beside one.

--- a/share/evloop/evloop.go
+++ b/share/evloop/evloop.go
@@ -83,14 +83,9 @@
 // loops. It is called after Add, when nobody waits for the connection any more, and does not
 // wait itself.
 func (l *Loops) Prepare() {
-	held, round := l.held.prepare()
-	byLoop := map[*loop][]int{}
-	for _, fd := range held {
-		lp := l.loopOf(fd)
-		byLoop[lp] = append(byLoop[lp], fd)
-	}
-	for lp, fds := range byLoop {
-		lp.call(func() { l.held.confirm(fds, round) })
+	loops, round := l.held.prepare()
+	for _, i := range loops {
+		l.loops[i].call(func() { l.held.confirm(i, round) })
 	}
 }
 
--- a/share/evloop/evloop_test.go
+++ b/share/evloop/evloop_test.go
@@ -101,7 +101,11 @@
 func (d *descriptors) useConfirmed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.fresh = append(d.fresh, d.takeConfirmed()...)
+	for i := range d.loops {
+		lp := &d.loops[i]
+		d.fresh = append(d.fresh, lp.confirmed...)
+		lp.confirmed = nil
+	}
 }
 
 // A loop is in the middle of a batch, in which events of a former connection may wait. A
@@ -200,9 +204,9 @@
 				open = slices.Delete(open, i, i+1)
 			},
 			"prepare": func(*rapid.T) {
-				fds, now := d.prepare()
-				if len(fds) > 0 {
-					pending, round = fds, now
+				loops, now := d.prepare()
+				if len(loops) > 0 {
+					pending, round = loops, now
 				}
 			},
 			"release": func(*rapid.T) {
@@ -210,12 +214,14 @@
 				d.resume = time.Time{}
 			},
 			"confirm": func(*rapid.T) {
-				if round == d.round {
-					for _, fd := range pending {
-						delete(ended, fd)
+				for _, i := range pending {
+					if round == d.round {
+						for _, fd := range d.loops[i].pending {
+							delete(ended, fd)
+						}
 					}
+					d.confirm(i, round)
 				}
-				d.confirm(pending, round)
 				pending = nil
 			},
 		})
--- a/share/evloop/held.go
+++ b/share/evloop/held.go
@@ -16,7 +16,7 @@
 	maxHeld      = 128
 	maxHeldShare = 0.5
 	// minConfirmed is the number of confirmed ones below which loops confirm others.
-	minConfirmed = maxHeld / 4
+	minConfirmed = maxHeld / 8
 	// releasePause is how long none are held after the process has run out of descriptors.
 	releasePause = 10 * time.Second
 )
@@ -35,17 +35,18 @@
 	// more. None are held until resume.
 	round  int
 	resume time.Time
-	// fresh ones may have events, pending ones wait for their loops. Confirmed ones are
-	// in loops, by the number of the loop.
-	fresh, pending []int
-	loops          []loopDescriptors
-	turn           int // the loop that is next in turn
+	// fresh ones may have events. loops are by their numbers, and turn is the one that is
+	// next in turn.
+	fresh []int
+	loops []loopDescriptors
+	turn  int
 }
 
-// loopDescriptors are those that the engine assigns to one loop.
+// loopDescriptors are those that the engine assigns to one loop. Pending ones wait for the loop
+// to confirm them.
 type loopDescriptors struct {
-	confirmed []int
-	last      *nbio.Conn // the last connection of the loop
+	pending, confirmed []int
+	last               *nbio.Conn // the last connection of the loop
 }
 
 // open holds copies of fd for a number of loops. They have had no connections, so there are
@@ -63,8 +64,9 @@
 	}
 	d.loops = make([]loopDescriptors, loops)
 	d.fill()
-	d.add(d.fresh)
-	d.fresh = nil
+	for _, i := range d.submit() {
+		d.loops[i].confirm()
+	}
 	return nil
 }
 
@@ -94,10 +96,16 @@
 
 // free frees the held descriptors.
 func (d *descriptors) free() {
-	for _, fd := range slices.Concat(d.fresh, d.pending, d.takeConfirmed()) {
+	fds := d.fresh
+	for i := range d.loops {
+		lp := &d.loops[i]
+		fds = slices.Concat(fds, lp.pending, lp.confirmed)
+		lp.pending, lp.confirmed = nil, nil
+	}
+	for _, fd := range fds {
 		_ = syscall.Close(fd)
 	}
-	d.fresh, d.pending = nil, nil
+	d.fresh = nil
 }
 
 // convert returns the engine's connection for conn and reports whether its descriptor is
@@ -152,58 +160,57 @@
 }
 
 // prepare holds the free descriptors below those confirmed. If few are confirmed and none
-// are pending, it returns those that loops must confirm, with the round for confirm.
-func (d *descriptors) prepare() (fds []int, round int) {
+// are pending, it returns the loops that must confirm others, and the round for confirm.
+func (d *descriptors) prepare() (loops []int, round int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed || !d.used || time.Now().Before(d.resume) {
 		return nil, d.round
 	}
 	d.used = false
-	confirmed, highest := 0, -1
+	pending, confirmed, highest := 0, 0, -1
 	for _, lp := range d.loops {
+		pending += len(lp.pending)
 		confirmed += len(lp.confirmed)
 		for _, fd := range lp.confirmed {
 			highest = max(highest, fd)
 		}
 	}
 	d.fillBelow(highest)
-	if confirmed >= minConfirmed || len(d.pending) > 0 {
+	if confirmed >= minConfirmed || pending > 0 {
 		return nil, d.round
 	}
 	d.fill()
-	d.pending, d.fresh = d.fresh, nil
-	return slices.Clone(d.pending), d.round
+	return d.submit(), d.round
 }
 
-// confirm records that no events of former connections are left with the descriptors, which
-// were prepared in a round.
-func (d *descriptors) confirm(fds []int, round int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.closed || d.round != round {
-		return
+// submit makes the fresh descriptors pending and returns the loops that must confirm them.
+func (d *descriptors) submit() []int {
+	var loops []int
+	for _, fd := range d.fresh {
+		i := fd % len(d.loops)
+		if len(d.loops[i].pending) == 0 {
+			loops = append(loops, i)
+		}
+		d.loops[i].pending = append(d.loops[i].pending, fd)
 	}
-	d.pending = slices.DeleteFunc(d.pending, func(fd int) bool { return slices.Contains(fds, fd) })
-	d.add(fds)
+	d.fresh = nil
+	return loops
 }
 
-// add adds confirmed descriptors.
-func (d *descriptors) add(fds []int) {
-	for _, fd := range fds {
-		lp := &d.loops[fd%len(d.loops)]
-		lp.confirmed = append(lp.confirmed, fd)
+// confirm records that a loop has no events of former connections with the descriptors that
+// were prepared for it in a round.
+func (d *descriptors) confirm(loop, round int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.closed && d.round == round {
+		d.loops[loop].confirm()
 	}
 }
 
-// takeConfirmed removes all confirmed descriptors.
-func (d *descriptors) takeConfirmed() []int {
-	var fds []int
-	for i := range d.loops {
-		fds = append(fds, d.loops[i].confirmed...)
-		d.loops[i].confirmed = nil
-	}
-	return fds
+func (lp *loopDescriptors) confirm() {
+	lp.confirmed = append(lp.confirmed, lp.pending...)
+	lp.pending = nil
 }
 
 // fill holds free descriptors up to maxHeld.
@@ -226,9 +233,9 @@
 // hold holds the lowest free descriptor. It reports false if there is none below the limit,
 // or if maxHeld are held.
 func (d *descriptors) hold() bool {
-	held := len(d.fresh) + len(d.pending)
+	held := len(d.fresh)
 	for _, lp := range d.loops {
-		held += len(lp.confirmed)
+		held += len(lp.pending) + len(lp.confirmed)
 	}
 	if held >= maxHeld {
 		return false
