--- a/share/evloop/evloop.go
+++ b/share/evloop/evloop.go
@@ -52,8 +52,9 @@
 }
 
 // Close waits until each loop has called add for the connections that it was given.
-// Connections that come later are closed. The engine must be stopped after it, and not before: a loop
-// clears its stop flag when it begins, so an engine that is stopped earlier never ends.
+// Connections that come later are closed. The engine must be stopped after it, and not
+// before: a loop clears its stop flag when it begins, so an engine that is stopped earlier
+// never ends.
 func (l *Loops) Close() {
 	l.held.close()
 	for _, lp := range l.loops {
--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -85,8 +85,8 @@
 	}
 	close(e.done)
 	e.sending.Lock() // waits for calls that are being sent; later ones see done
-	defer e.sending.Unlock()
 	e.loops.Close()
+	e.sending.Unlock()
 	e.engine.Stop()
 	return nil
 }
