--- a/share/evloop/held.go
+++ b/share/evloop/held.go
@@ -42,8 +42,8 @@
 	turn  int
 }
 
-// loopDescriptors are those that the engine assigns to one loop. Pending ones wait for the loop
-// to confirm them.
+// loopDescriptors holds the descriptors of one loop, as the engine assigns them. The loop
+// has yet to confirm the pending ones.
 type loopDescriptors struct {
 	pending, confirmed []int
 	last               *nbio.Conn // the last connection of the loop
