review: a request that takes over 10 s loses its connection

Cause: the write timeout of httpd begins when a request has been read, so it closes connections whose handler still waits for a leaf.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # Exit codes: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/standin ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec ../bin/standin storm .
+exec ../bin/standin long .
--- a/review/standin/junk.go
+++ b/review/standin/junk.go
@@ -160,8 +160,8 @@
 
 // look asks the sound service on a kept connection, one request after the other.
 func (w *world) look(f *front, number int, stop chan struct{}, lost, served *atomic.Int64) {
-	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}}
-	kept := false
+	client := &caller{w: w, front: f}
+	defer client.close()
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -169,31 +169,30 @@
 		default:
 		}
 		id := fmt.Sprintf("look-%s-%d-%d", f.name, number, n)
-		a := w.ask(client, f, http.MethodGet, "/look/x", id, 4*time.Second)
-		switch {
-		case a.err == nil && a.status == http.StatusOK:
+		a := client.ask(http.MethodGet, "/look/x", id, 4*time.Second)
+		if a.err == nil && a.status == http.StatusOK {
 			served.Add(1)
-			kept = true
 			continue
-		case a.err != nil && kept && w.ran(id):
+		}
+		if a.lost(w.ran(id), 4*time.Second) {
 			lost.Add(1)
 			w.note("LOST: %s was passed on to a sound leaf, and its connection ended without an answer", id)
 		}
-		kept = false
 		time.Sleep(200 * time.Millisecond)
 	}
 }
 
 // pay sends requests that aren't idempotent.
 func (w *world) pay(f *front, number int, stop chan struct{}) {
-	client := &http.Client{Timeout: unsafeTimeout + time.Second, Transport: &http.Transport{}}
+	client := &caller{w: w, front: f}
+	defer client.close()
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(50 * time.Millisecond):
 		}
-		if a := w.ask(client, f, http.MethodPost, "/pay/x", fmt.Sprintf("pay-%s-%d-%d", f.name, number, n), unsafeTimeout); a.err != nil {
+		if a := client.ask(http.MethodPost, "/pay/x", fmt.Sprintf("pay-%s-%d-%d", f.name, number, n), unsafeTimeout); a.err != nil {
 			time.Sleep(200 * time.Millisecond)
 		}
 	}
--- a/review/standin/storm.go
+++ b/review/standin/storm.go
@@ -99,7 +99,8 @@
 	broken, checked := 0, 0
 	for _, f := range w.fronts {
 		clients.Go(func() {
-			client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{}}
+			client := &caller{w: w, front: f}
+			defer client.close()
 			for n := 0; ; n++ {
 				select {
 				case <-stop:
@@ -107,7 +108,7 @@
 				case <-time.After(100 * time.Millisecond):
 				}
 				route := n % stormChanges
-				a := w.ask(client, f, http.MethodGet, fmt.Sprintf("/move%d/x", route), fmt.Sprintf("%s-%d", f.name, n), 2*time.Second)
+				a := client.ask(http.MethodGet, fmt.Sprintf("/move%d/x", route), fmt.Sprintf("%s-%d", f.name, n), 2*time.Second)
 				mu.Lock()
 				ack, ok := acked[route]
 				if ok && a.sent.After(ack.Add(applyTime)) {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -295,35 +295,80 @@
 
 // answer is what a client saw.
 type answer struct {
-	sent, ended time.Time
-	status      int
-	stamp       string
-	err         error
+	sent   time.Time
+	took   time.Duration
+	status int
+	stamp  string
+	// kept is set if the connection had carried a request before.
+	kept bool
+	err  error
 }
 
-// ask sends a request of a client on a kept connection.
-func (w *world) ask(client *http.Client, f *front, method, path, id string, wait time.Duration) answer {
-	var body io.Reader
+// lost reports whether a kept connection ended without an answer, before the client's time was up,
+// after the request had been passed on to a leaf.
+func (a answer) lost(ran bool, wait time.Duration) bool {
+	return a.err != nil && a.kept && ran && a.took < wait
+}
+
+// caller is a client with one connection, which it keeps for its next request. It never repeats
+// a request.
+type caller struct {
+	w      *world
+	front  *front
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// ask sends a request and waits for its answer.
+func (c *caller) ask(method, path, id string, wait time.Duration) answer {
+	a := answer{sent: time.Now(), kept: c.conn != nil}
+	a.err = c.exchange(&a, method, path, id, wait)
+	a.took = time.Since(a.sent)
+	if a.err != nil {
+		c.close()
+	}
+	c.w.note("%s: %s %s %s sent %.3f: status %d stamp %q after %d ms, kept %v, error %v", c.front.name, id, method, path,
+		a.sent.Sub(c.w.start).Seconds(), a.status, a.stamp, a.took.Milliseconds(), a.kept, a.err)
+	return a
+}
+
+func (c *caller) exchange(a *answer, method, path, id string, wait time.Duration) error {
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", c.front.ip, c.w.port), time.Second)
+		if err != nil {
+			return err
+		}
+		c.conn, c.reader = conn, bufio.NewReader(conn)
+	}
+	_ = c.conn.SetDeadline(a.sent.Add(wait))
+	body := ""
 	if method == http.MethodPost {
-		body = strings.NewReader("body of " + id)
+		body = "body of " + id
+	}
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, path, host, id, wait.Milliseconds())
+	if body != "" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	if _, err := io.WriteString(c.conn, text+"\r\n"+body); err != nil {
+		return err
 	}
-	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", f.ip, w.port, path), body)
+	res, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return answer{err: err}
+		return err
 	}
-	r.Host = host
-	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
-	a := answer{sent: time.Now()}
-	res, err := client.Do(r)
-	if err == nil {
-		a.status, a.stamp = res.StatusCode, res.Header.Get("X-Server-Stamp")
-		_, err = io.Copy(io.Discard, res.Body)
-		_ = res.Body.Close()
+	a.status, a.stamp = res.StatusCode, res.Header.Get("X-Server-Stamp")
+	_, err = io.Copy(io.Discard, res.Body)
+	if err == nil && res.Close {
+		c.close()
+	}
+	return err
+}
+
+func (c *caller) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
 	}
-	a.ended, a.err = time.Now(), err
-	w.note("%s: %s %s sent %.3f: status %d stamp %q error %v", f.name, id, path, a.sent.Sub(w.start).Seconds(), a.status, a.stamp, err)
-	return a
 }
 
 // close ends all processes that were started, and the record.
