--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(w *world, trouble bool) (int, error){"junk": junk, "long": long, "storm": storm}
+	cases := map[string]func(w *world, trouble bool) (int, error){"head": head, "junk": junk, "long": long, "storm": storm}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -200,6 +201,9 @@
 	return w.launch(f)
 }
 
+// address returns where callers connect to a front.
+func (w *world) address(f *front) string { return net.JoinHostPort(f.ip, strconv.Itoa(w.port)) }
+
 // ran reports whether a leaf has begun to run a request.
 func (w *world) ran(id string) bool {
 	w.mu.Lock()
@@ -334,7 +338,7 @@
 
 func (c *caller) exchange(a *answer, method, path, id string, wait time.Duration) error {
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", c.front.ip, c.w.port), time.Second)
+		conn, err := net.DialTimeout("tcp", c.w.address(c.front), time.Second)
 		if err != nil {
 			return err
 		}
