httpc: bound the heads of replies and the memory of all of them

Callers saw kept connections to a host end without an answer, also those with requests at sound leaves of other services, while one leaf sent bytes that are no reply.

Cause: http.ReadResponse keeps a status line and headers in memory until they end, and interim replies were skipped without a limit on their number. The body of a reply had a limit, but closing one that was too large read on to its end. Nothing bounded the sum of the replies that are read at once.

Change: all heads that a call reads are limited to 64 KB together, bodies to 4 MB as before, and a call ends at the limit with its connection. Replies count against an eighth of the process's memory, which the platform's settings name; a reply may only grow while it is smaller than what is left, so junk cannot keep small replies from being read.

Why it works: no call keeps more than its limits, and no number of calls more than the quota, whatever a leaf sends and however long.

--- a/share/httpc/conn.go
+++ b/share/httpc/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
+	"dandelionstile/share/quota"
 )
 
 // Errors of calls.
@@ -27,14 +27,9 @@
 	// ErrIdleClosed reports a connection that was closed, or carried bytes, while
 	// no call was active on it.
 	ErrIdleClosed = errors.New("connection ended while idle")
-	// ErrTooLarge reports a reply above the size limit.
-	ErrTooLarge = errors.New("reply is too large")
 )
 
 const (
-	// maxReplyBytes is the largest accepted reply. Leaves reply with tens of KB
-	// at most.
-	maxReplyBytes = 4 << 20
 	// maxForeignReplies is how many replies to other requests a call reads
 	// before it fails.
 	maxForeignReplies = 3
@@ -72,6 +67,7 @@
 type conn struct {
 	net     net.Conn
 	dialect *Dialect
+	memory  *quota.Bytes
 
 	mu     sync.Mutex
 	job    *job
@@ -83,8 +79,8 @@
 }
 
 // newConn starts the read loop of an open connection.
-func newConn(netConn net.Conn, d *Dialect) *conn {
-	created := &conn{net: netConn, dialect: d, ended: make(chan struct{})}
+func newConn(netConn net.Conn, d *Dialect, memory *quota.Bytes) *conn {
+	created := &conn{net: netConn, dialect: d, memory: memory, ended: make(chan struct{})}
 	go created.readLoop()
 	return created
 }
@@ -163,7 +159,9 @@
 func (c *conn) readLoop() {
 	defer close(c.ended)
 	defer c.close()
-	br := bufio.NewReaderSize(c.net, readBufferBytes)
+	in := &source{from: c.net, memory: c.memory}
+	defer func() { in.release(nil) }()
+	br := bufio.NewReaderSize(in, readBufferBytes)
 	for {
 		if _, err := br.Peek(1); err != nil {
 			c.finish(result{err: errors.Wrap(err, "read reply")})
@@ -173,7 +171,8 @@
 		if j == nil {
 			return // unsolicited bytes
 		}
-		r := c.readReply(br, j)
+		r := c.readReply(in, br, j)
+		in.release(r.reply)
 		if br.Buffered() > 0 {
 			r.keep = false // bytes after the reply
 		}
@@ -186,9 +185,9 @@
 
 // readReply reads the reply to a call. It skips late replies to earlier requests, since
 // the connection is otherwise intact, but fails after maxForeignReplies of them.
-func (c *conn) readReply(br *bufio.Reader, j *job) result {
+func (c *conn) readReply(in *source, br *bufio.Reader, j *job) result {
 	for range maxForeignReplies {
-		r := c.readOne(br, j)
+		r := c.readOne(in, br, j)
 		if !errors.Is(r.err, ErrWrongRequestID) {
 			return r
 		}
@@ -197,9 +196,9 @@
 }
 
 // readOne reads the next reply, apart from interim ones (1xx), and checks that it is
-// complete, not too large, belongs to the call and, if successful, has a stamp if the call
+// complete, within the limits of source, belongs to the call and, if successful, has a stamp if the call
 // needs one. A reply without a request ID counts as belonging to the call.
-func (c *conn) readOne(br *bufio.Reader, j *job) result {
+func (c *conn) readOne(in *source, br *bufio.Reader, j *job) result {
 	request := j.request
 	res, err := http.ReadResponse(br, request)
 	for err == nil && res.StatusCode >= 100 && res.StatusCode < 200 {
@@ -208,14 +207,12 @@
 	if err != nil {
 		return result{err: errors.Wrap(err, "read reply")}
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
-	_ = res.Body.Close() // fully read, or the connection is closed
+	body, err := in.readBody(res.Body, res.ContentLength)
 	if err != nil {
+		// Closing the body would read on, without end if the body has none.
 		return result{err: errors.Wrap(err, "read reply")}
 	}
-	if len(body) > maxReplyBytes {
-		return result{err: ErrTooLarge}
-	}
+	_ = res.Body.Close() // it has been read
 	id := res.Header.Get(c.dialect.RequestID)
 	if id != "" && id != request.Header.Get(c.dialect.RequestID) {
 		return result{err: ErrWrongRequestID}
--- a/share/httpc/fuzz_test.go
+++ b/share/httpc/fuzz_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"dandelionstile/share/call"
+	"dandelionstile/share/quota"
 )
 
 // A leaf may reply with any bytes. They must end the call, and must not pass as a success
@@ -17,7 +18,7 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		local, remote := net.Pipe()
-		c := newConn(local, &DefaultDialect)
+		c := newConn(local, &DefaultDialect, &quota.Bytes{})
 		j := &job{done: make(chan result, 1), request: &http.Request{Method: http.MethodGet, Header: http.Header{"Request-Id": {"own"}}}}
 		if !c.begin(j) {
 			t.Fatal("a new connection rejects a call")
--- a/share/httpc/httpc_test.go
+++ b/share/httpc/httpc_test.go
@@ -312,7 +312,7 @@
 	p := &Pool{Clock: &now}
 	local, remote := net.Pipe()
 	defer func() { _ = remote.Close() }()
-	c := newConn(local, &p.Dialect)
+	c := newConn(local, &p.Dialect, &p.Memory)
 	p.putIdle("l", c, 3*clock.Second)
 	// The timeout of 3 s less idleMargin: 2,000 ms.
 	now.Run(1900)
--- a/share/httpc/pool.go
+++ b/share/httpc/pool.go
@@ -15,6 +15,7 @@
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
 	"dandelionstile/share/fetch"
+	"dandelionstile/share/quota"
 	"dandelionstile/share/router"
 )
 
@@ -31,6 +32,8 @@
 	// choose.
 	Source string
 	Clock  clock.Clock
+	// Memory bounds the memory of all replies together.
+	Memory quota.Bytes
 	// OnDone receives the result of a call, OnProbed that of a probe, and OnConnRefused
 	// the refusal of a connection check. They are called from any goroutine.
 	OnDone        func(router.CallDone)
@@ -105,7 +108,7 @@
 		p.opening[address]--
 		p.mu.Unlock()
 		if err == nil {
-			p.putIdle(address, newConn(netConn, &p.Dialect), 0) // its idle timeout is unknown
+			p.putIdle(address, newConn(netConn, &p.Dialect, &p.Memory), 0) // its idle timeout is unknown
 		}
 		// An unreachable host is detected by the next request.
 	})
@@ -158,7 +161,7 @@
 	if err != nil {
 		return false
 	}
-	c := newConn(netConn, &p.Dialect)
+	c := newConn(netConn, &p.Dialect, &p.Memory)
 	defer c.close()
 	h := http.Header{"Connection": {"close"}}
 	j := &job{request: &http.Request{Method: http.MethodGet, Host: probe.Address, Header: h}, stampOptional: true, done: make(chan result, 1)}
@@ -243,7 +246,7 @@
 		if err != nil {
 			return dialFailure(ctx, err)
 		}
-		c = newConn(netConn, &p.Dialect)
+		c = newConn(netConn, &p.Dialect, &p.Memory)
 		if send.AwaitRejection && c.awaitReset((p.Clock.Now() - dialedAt).Duration()) {
 			return router.CallDone{Kind: call.Full, Cause: "the leaf ended a new connection"}
 		}
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -17,6 +17,7 @@
 	"dandelionstile/share/httpd"
 	"dandelionstile/share/meter"
 	"dandelionstile/share/mirror"
+	"dandelionstile/share/quota"
 	"dandelionstile/share/router"
 )
 
@@ -31,7 +32,10 @@
 	Seeds []string
 	// SourceIP is the local IP of connections to leaves.
 	SourceIP string
-	Self     router.HostInfo // this host
+	// Memory is the memory of the process, in bytes, of which replies of leaves get a part;
+	// 0 if it is unknown.
+	Memory int64
+	Self   router.HostInfo // this host
 	// Regions maps failure domains to regions.
 	Regions map[string]string
 	Policy  router.Policy
@@ -81,6 +85,7 @@
 	s.stop = make(chan struct{})
 	s.stopped = make(chan struct{})
 	s.pool = httpc.Pool{Dialect: s.Settings.Dialect, Source: s.Settings.SourceIP, Clock: s.Clock, OnDone: s.callDone, OnProbed: s.probeDone, OnConnRefused: s.connRefused}
+	s.pool.Memory.Limit = quota.ForHost(s.Settings.Memory)
 	s.server = httpd.Server{
 		Address: s.Settings.CallerAddress, Handler: s.wrap(s.serve),
 		OnRejected: s.requestRejected, Log: s.Log,
