fetch: bound what a connection receives before the library parses it

Nobody is known to have been hit; callers would have lost a host.

Cause: the library keeps the headers of a reply without a limit, and 64 MB of a line or body that is not complete. It parses replies that nobody waits for, and allocates a buffer for each chunk.

Change: the engine sees the bytes first. It allows 64 KB of head and 5 MB of body on the wire, counts them for memory, and closes a connection that receives bytes without a call. Interim replies end a call with an error; they passed as its reply. Buffers of bodies have 512 bytes at least.

--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -14,10 +14,12 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"dandelionstile/share/evloop"
 	_ "dandelionstile/share/netio" // sets up the library
+	"dandelionstile/share/quota"
 )
 
 // Errors of calls.
@@ -28,16 +30,13 @@
 	// ErrConnLost is returned if an open connection was lost. The request may have
 	// arrived.
 	ErrConnLost = errors.New("connection was lost")
-	// ErrTooLarge is returned if the reply is larger than MaxReplyBytes.
-	ErrTooLarge = errors.New("reply is too large")
+	// errInterim reports an interim reply (1xx), which no call here asks for.
+	errInterim = errors.New("interim reply")
 )
 
 // dialTimeout bounds the time to open a connection.
 const dialTimeout = time.Second
 
-// MaxReplyBytes is the size limit of a reply body.
-const MaxReplyBytes = 4 << 20
-
 // Reply is a complete HTTP reply.
 type Reply struct {
 	Status int
@@ -50,8 +49,11 @@
 	// Source is the IP that connections are opened from; if it is empty, the
 	// system chooses one.
 	Source string
+	// Memory bounds the memory of the replies that are being read.
+	Memory quota.Bytes
 
 	engine *nbhttp.Engine
+	conns  sync.Map // the intakes of open connections, by *nbio.Conn
 	loops  evloop.Loops
 	done   chan struct{}
 	// sending is held while a call uses the library's engine, which must not stop then.
@@ -65,7 +67,9 @@
 func (e *Engine) Start() error {
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name: "fetch", NPoller: pollers, MaxHTTPBodySize: MaxReplyBytes, SupportServerOnly: false,
+		BodyAllocator: bodyAllocator{mempool.DefaultMemPool},
 	})
+	engine.OnData(e.onData)
 	err := engine.Start()
 	if err == nil {
 		err = e.loops.Open(engine.Engine, pollers)
@@ -77,6 +81,18 @@
 	return nil
 }
 
+// onData passes what a connection has received to the library, within the limits of its
+// intake. An event loop's own connection has none.
+func (e *Engine) onData(c *nbio.Conn, data []byte) {
+	if in, ok := e.conns.Load(c); ok {
+		if err := in.(*intake).receive(data); err != nil {
+			_ = c.CloseWithError(err) // ends the call
+			return
+		}
+	}
+	c.DataHandler()(c, data)
+}
+
 // Close closes all connections and waits for the event loops. Calls in flight end with
 // ErrConnLost; later calls open no connection.
 func (e *Engine) Close() error {
@@ -114,7 +130,8 @@
 	mu     sync.Mutex
 	client *nbhttp.ClientConn
 	dialed net.Conn // open, and not yet taken by client
-	opened bool     // client has taken the connection, so a request may have been sent
+	intake intake
+	opened bool // client has taken the connection, so a request may have been sent
 	closed bool
 }
 
@@ -173,9 +190,11 @@
 		return false
 	}
 	var once sync.Once
+	c.intake.begin()
 	client.Do(r, func(res *http.Response, _ net.Conn, err error) {
 		once.Do(func() {
 			reply, err := c.readReply(res, err)
+			c.intake.end()
 			done(reply, err)
 		})
 	})
@@ -196,10 +215,15 @@
 	}
 	if c.client == nil {
 		c.dialed = conn
+		c.intake.memory = &c.Engine.Memory
+		c.Engine.conns.Store(conn, &c.intake)
 		c.client = &nbhttp.ClientConn{Engine: c.Engine.engine, Dial: c.takeDialed}
-		if c.OnClose != nil {
-			c.client.OnClose(c.OnClose)
-		}
+		c.client.OnClose(func() {
+			c.Engine.conns.Delete(conn)
+			if c.OnClose != nil {
+				c.OnClose()
+			}
+		})
 	}
 	return c.client, true
 }
@@ -238,6 +262,9 @@
 		}
 		return Reply{}, errors.Mark(errors.Wrap(err, "call"), ErrConnLost)
 	}
+	if res.StatusCode < http.StatusOK {
+		return Reply{}, errors.Mark(errInterim, ErrConnLost)
+	}
 	reply := Reply{Status: res.StatusCode, Header: res.Header}
 	if res.Body == nil {
 		return reply, nil
--- /dev/null
+++ b/share/fetch/intake.go
@@ -0,0 +1,121 @@
+package fetch
+
+import (
+	"bytes"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lesismal/nbio/mempool"
+
+	"dandelionstile/share/quota"
+)
+
+// Errors of replies that are not read to their end.
+var (
+	// ErrTooLarge is returned if the reply is larger than MaxReplyBytes, or its head than
+	// maxHeadBytes.
+	ErrTooLarge = errors.New("reply is too large")
+	// ErrNoMemory is returned if the replies that are being read leave too little memory.
+	ErrNoMemory = errors.New("replies take too much memory")
+	// errUnsolicited closes a connection that has received bytes without a call.
+	errUnsolicited = errors.New("bytes without a call")
+)
+
+const (
+	// MaxReplyBytes is the size limit of a reply body.
+	MaxReplyBytes = 4 << 20
+	// maxHeadBytes is the size limit of a reply's status line and headers.
+	maxHeadBytes = 64 << 10
+	// maxWireBytes bounds a body with its chunked encoding, which may add a quarter to it.
+	maxWireBytes = MaxReplyBytes + MaxReplyBytes/4
+	// headerCost is the memory that a header takes besides its text, in bytes.
+	headerCost = 128
+	// minBodyBlock is the smallest buffer of a body, in bytes. The library begins with the
+	// size of the first chunk; with a buffer for each chunk of one byte, a body would take
+	// fifty times its size.
+	minBodyBlock = 512
+)
+
+// intake bounds what a connection receives, before the library parses it. The library
+// itself keeps a head without end in memory, and takes replies that nobody waits for.
+type intake struct {
+	memory *quota.Bytes
+
+	mu sync.Mutex
+	// calls is the number of calls that wait for their reply.
+	calls int
+	// head is the size of the current reply's head so far, and matched how much of the
+	// blank line at its end has arrived.
+	head, matched int
+	// body is the size of what has arrived after the head.
+	body int
+	held int64
+}
+
+// headEnd is the end of a head.
+const headEnd = "\r\n\r\n"
+
+// begin records that a call waits for its reply.
+func (i *intake) begin() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.calls++
+	i.head, i.matched, i.body = 0, 0, 0
+}
+
+// end records that a call has its reply, or has failed, and gives its memory back.
+func (i *intake) end() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.calls--
+	i.memory.Release(i.held)
+	i.held = 0
+}
+
+// receive records bytes that have arrived. After an error the connection must be closed and
+// the bytes not be parsed.
+func (i *intake) receive(data []byte) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.calls == 0 {
+		return errUnsolicited
+	}
+	head := i.scanHead(data)
+	i.head += head
+	i.body += len(data) - head
+	if i.head > maxHeadBytes || i.body > maxWireBytes {
+		return ErrTooLarge
+	}
+	cost := int64(len(data) + headerCost*bytes.Count(data[:head], []byte{'\n'}))
+	if !i.memory.Grow(i.held, cost) {
+		return ErrNoMemory
+	}
+	i.held += cost
+	return nil
+}
+
+// scanHead returns how many bytes of data belong to the head.
+func (i *intake) scanHead(data []byte) int {
+	for n, b := range data {
+		switch {
+		case i.matched == len(headEnd):
+			return n
+		case b == headEnd[i.matched]:
+			i.matched++
+		case b == headEnd[0]:
+			i.matched = 1
+		default:
+			i.matched = 0
+		}
+	}
+	return len(data)
+}
+
+// bodyAllocator allocates the buffers of bodies.
+type bodyAllocator struct{ mempool.Allocator }
+
+// Malloc returns a buffer of size bytes, with room for minBodyBlock.
+func (bodyAllocator) Malloc(size int) *[]byte {
+	b := make([]byte, size, max(size, minBodyBlock))
+	return &b
+}
