--- a/share/mirror/mirror_test.go
+++ b/share/mirror/mirror_test.go
@@ -341,6 +341,20 @@
 	assert.ErrorContains(t, err, "page")
 }
 
+// Another host sends a page of empty items. Decoded, its two bytes for each would take a
+// hundred, above the memory of a host.
+func TestPageOfEmptyItemsIsRejected(t *testing.T) {
+	body, err := encode(Page{Revision: 3, Items: make([]Item, MaxPageItems+1)})
+	assert.NilError(t, err)
+	_, err = decode(body)
+	assert.ErrorIs(t, err, errTooMany)
+	body, err = encode(Page{Revision: 3, Items: make([]Item, MaxPageItems/2)})
+	assert.NilError(t, err)
+	page, err := decode(body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Items), MaxPageItems/2)
+}
+
 // hangingSource is a source that has stopped replying: its reads end when end is closed.
 type hangingSource struct{ end chan struct{} }
 
--- a/share/mirror/peer.go
+++ b/share/mirror/peer.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"dandelionstile/share/clock"
@@ -63,16 +64,53 @@
 	return p, err
 }
 
-// maxPageBytes bounds an uncompressed page. The store's values have at most 1 MB
-// each, and there are only a few besides the entries of leaves.
-const maxPageBytes = 16 << 20
+const (
+	// MaxPageBytes bounds an uncompressed page. The store's values have at most 1 MB
+	// each, and there are only a few besides the entries of leaves.
+	MaxPageBytes = 16 << 20
+	// MaxPageItems bounds the items of a page. An empty item has two bytes, and takes a
+	// hundred when it is decoded. A list of 33,000 leaves has one item each.
+	MaxPageItems = 1 << 17
+	// itemCost is the memory that an item takes besides its key and value, in bytes.
+	itemCost = 64
+)
+
+// errTooMany reports a page with more than MaxPageItems items.
+var errTooMany = errors.New("page has too many items")
+
+// Size returns the memory that a page takes, in bytes.
+func (p *Page) Size() int {
+	size := 0
+	for i := range p.Items {
+		size += len(p.Items[i].Key) + len(p.Items[i].Value) + itemCost
+	}
+	return size
+}
+
+// countFields returns the number of fields of an encoded message, without those that
+// follow a malformed one.
+func countFields(body []byte) int {
+	fields := 0
+	for len(body) > 0 {
+		_, _, n := protowire.ConsumeField(body)
+		if n < 0 {
+			break // Unmarshal reports it
+		}
+		body = body[n:]
+		fields++
+	}
+	return fields
+}
 
 // decode decompresses and decodes a page.
 func decode(compressed []byte) (Page, error) {
-	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxPageBytes))
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), MaxPageBytes))
 	if err != nil {
 		return Page{}, errors.Wrap(err, "decompress page")
 	}
+	if countFields(body) > MaxPageItems {
+		return Page{}, errTooMany
+	}
 	var message wire.FactsPage
 	if err := proto.Unmarshal(body, &message); err != nil {
 		return Page{}, errors.Wrap(err, "decode page")
