httpd: let requests take as long as the router allows

Callers lost their connection without an answer 10 s after their request had been read, while a sound leaf ran it. The leaf's answer was thrown away.

Cause: httpd set the library's write timeout to 10 s. The library begins it when it has read a request, not when an answer is written, and closes the connection at its end; nothing relates it to the routes' timeouts, which operators change while hosts run. Its limit on idle connections, 10 minutes, begins with the last answer on a connection and also runs while a request is handled.

Change: both limits are off. Timeouts of the operators are limited to a year, since ten times a huge one overflowed and rejected requests that were not complete.

Why it works: no timer runs while a handler does, so that only the router ends a request, at its route's timeout.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -28,6 +28,9 @@
 // openConn is the state of one connection and of its last request.
 type openConn struct {
 	conn net.Conn
+	// caller is set once the engine is adding the connection.
+	caller   *callerConn
+	progress progress
 	// requests counts the requests that were read and whose handler has not returned.
 	requests int
 	// idleSince is when the last handler returned or, before the first request,
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -44,10 +44,10 @@
 	// is below the largest body, the library resets connections whose body
 	// arrives in pieces.
 	readLimitBytes = 2 * fallbackMaxBodyBytes
-	// engineIdleTimeout is the library's own limit, longer than the default of
-	// Limits.IdleTimeout.
-	engineIdleTimeout = 10 * time.Minute
-	writeTimeout      = 10 * time.Second
+	// noTimeout disables the library's time limit on idle connections, which it also
+	// applies while a request is handled. Its limit on writes begins when a request has been
+	// read, so it would end requests that take longer. Limits apply instead.
+	noTimeout = 100 * 365 * 24 * time.Hour
 	// acceptRetryDelay is the pause after a connection could not be accepted.
 	acceptRetryDelay = 50 * time.Millisecond
 	// maxHandlers bounds the handlers that run concurrently.
@@ -71,7 +71,8 @@
 	// not reach the handler; it may be nil.
 	OnRejected func(remote string, status int)
 	// Log gets a line for each connection that could not be accepted, at most one in
-	// acceptRetryDelay. The zero value discards them.
+	// acceptRetryDelay, and for each that is closed because its caller does not read its
+	// answer. The zero value discards them.
 	Log zerolog.Logger
 
 	engine   *nbhttp.Engine
@@ -102,7 +103,7 @@
 	pollers := cmp.Or(s.pollers, defaultPollers)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "httpd", MaxLoad: s.maxConns(), MaxHTTPBodySize: readLimitBytes, ReadLimit: readLimitBytes,
-		KeepaliveTime: engineIdleTimeout, WriteTimeout: writeTimeout, NPoller: pollers,
+		KeepaliveTime: noTimeout, NPoller: pollers,
 		MessageHandlerPoolSize: maxHandlers,
 		Handler:                http.HandlerFunc(s.serve),
 		// Called when the request has been read, before its handler is scheduled.
@@ -110,6 +111,8 @@
 	})
 	s.engine.OnRead(s.onReadable)
 	s.engine.OnOpen(s.conns.add)
+	s.engine.Engine.OnOpen(s.opened)
+	s.engine.OnWrittenSize(recordSent)
 	s.engine.OnClose(func(c net.Conn, _ error) { s.conns.remove(c) })
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "serve on %s", s.Address)
@@ -185,9 +188,13 @@
 		case <-s.stop:
 			return
 		case now := <-ticks.C:
-			for _, conn := range s.conns.sweep(*s.limits.Load(), now) {
+			timedOut, unread := s.conns.sweep(*s.limits.Load(), now)
+			for _, conn := range timedOut {
 				s.reject(conn, http.StatusRequestTimeout)
 			}
+			for _, conn := range unread {
+				s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Msg("answer-unread")
+			}
 		}
 	}
 }
@@ -262,6 +269,11 @@
 // reject reports an incomplete request as rejected and answers it with an error status.
 func (s *Server) reject(conn net.Conn, status int) {
 	s.reportRejected(conn.RemoteAddr().String(), status)
+	if c, ok := conn.(*nbio.Conn); ok {
+		if caller := callerOf(c); caller != nil {
+			conn = caller // counts the bytes
+		}
+	}
 	_, _ = conn.Write(errorResponse(status)) // the caller may have disconnected
 }
 
@@ -272,9 +284,9 @@
 	}
 }
 
-// connOf returns the connection that the library writes an answer to.
+// connOf returns the engine's connection that an answer is for.
 func connOf(w http.ResponseWriter) net.Conn {
-	return w.(*nbhttp.Response).Parser.Conn.(*nbhttp.Conn).Conn
+	return netConn(w.(*nbhttp.Response).Parser.Conn.(*nbhttp.Conn).Conn)
 }
 
 // serve handles one request: it enforces the limits and calls the handler.
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -14,7 +14,8 @@
 	MaxHeaderBytes, MaxBodyBytes int
 	// StallTimeout is how long a caller may send nothing within a request.
 	StallTimeout time.Duration
-	// IdleTimeout is how long a connection may stay open between requests.
+	// IdleTimeout is how long a connection may stay open between requests, and for how long
+	// a caller may take nothing of its answer, if that is longer than minReadPause.
 	IdleTimeout time.Duration
 }
 
@@ -23,9 +24,12 @@
 	defaultMaxHeaderBytes = 64 << 10
 	defaultStallTimeout   = 10 * time.Second
 	defaultIdleTimeout    = 2 * time.Minute
+	// maxTimeout keeps the multiples of a timeout within the range of their type.
+	maxTimeout = 365 * 24 * time.Hour
 )
 
-// withDefaults returns the limits with a default for each field that is not above zero.
+// withDefaults returns the limits with a default for each field that is not above zero, and
+// with timeouts of at most maxTimeout.
 func (l Limits) withDefaults() Limits {
 	if l.MaxHeaderBytes <= 0 {
 		l.MaxHeaderBytes = defaultMaxHeaderBytes
@@ -39,6 +43,7 @@
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = defaultIdleTimeout
 	}
+	l.StallTimeout, l.IdleTimeout = min(l.StallTimeout, maxTimeout), min(l.IdleTimeout, maxTimeout)
 	return l
 }
 
@@ -98,10 +103,15 @@
 )
 
 // nextAction returns what to do with a connection. While a handler runs, no time limit
-// applies. A connection with bytes that have arrived but are not read yet is neither
+// applies; while a caller reads its answer, however slowly, only that on its pauses does. A
+// connection with bytes that have arrived but are not read yet is neither
 // stalled nor idle; the limits on the whole request and on the time after a rejection
 // apply to it all the same.
 func (l Limits) nextAction(o *openConn, now time.Time) connAction {
+	pause := time.Duration(0)
+	if o.caller != nil {
+		pause = o.progress.pause(o.caller, now)
+	}
 	switch {
 	case o.requests > 0:
 		return keepOpen
@@ -109,6 +119,10 @@
 		if now.Sub(o.rejectedAt) > rejectLinger {
 			return closeConn
 		}
+	case o.hasUnsent():
+		if pause > max(l.IdleTimeout, minReadPause) {
+			return closeConn
+		}
 	case !o.requestStarted.IsZero():
 		if now.Sub(o.lastRead) > l.StallTimeout && !o.hasUnread() || now.Sub(o.requestStarted) > maxStallTimeouts*l.StallTimeout {
 			return rejectTimedOut
@@ -125,9 +139,10 @@
 	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 }
 
-// sweep closes the connections that were idle or rejected for too long. It marks those
-// whose request timed out as rejected and returns them.
-func (c *conns) sweep(l Limits, now time.Time) (timedOut []net.Conn) {
+// sweep closes the connections that were idle or rejected for too long, or whose callers do
+// not read their answers, and returns the latter as unread. It marks those whose request timed
+// out as rejected and returns them.
+func (c *conns) sweep(l Limits, now time.Time) (timedOut, unread []net.Conn) {
 	var expired []net.Conn
 	c.mu.Lock()
 	for _, o := range c.open {
@@ -137,6 +152,9 @@
 		switch l.nextAction(o, now) {
 		case closeConn:
 			expired = append(expired, o.conn)
+			if o.hasUnsent() {
+				unread = append(unread, o.conn)
+			}
 		case rejectTimedOut:
 			o.rejectedAt = now
 			timedOut = append(timedOut, o.conn)
@@ -147,5 +165,5 @@
 	for _, conn := range expired {
 		_ = conn.Close() // fails only if the caller closed it first
 	}
-	return timedOut
+	return timedOut, unread
 }
