httpd: do not close connections with unsent answers

Callers that read slowly lost the rest of their answer. Nobody is known to have been hit.

The library itself closes a connection right after an answer to a request with "Connection: close".

Change: a connection with unsent bytes is not idle, and a close by the library waits for them.

--- a/share/httpd/caller.go
+++ b/share/httpd/caller.go
@@ -20,6 +20,8 @@
 	// unsent is the number of bytes of answers that the library keeps in memory until the
 	// socket takes them, and sent the number that the socket has taken.
 	unsent, sent atomic.Int64
+	// closing is set if the connection is to be closed once nothing is unsent.
+	closing atomic.Bool
 }
 
 // opened sets up a connection that the engine is adding, before its first event. It leaves
@@ -52,6 +54,16 @@
 	return c.Conn.Write(b)
 }
 
+// Close closes the connection, or has it closed once the caller has taken its answers: the
+// library calls it after a request with "Connection: close", and would drop what is unsent.
+func (c *callerConn) Close() error {
+	c.closing.Store(true)
+	if c.unsent.Load() > 0 {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
 // recordSent records that the socket of a connection has taken n bytes. The library calls it
 // with the connection's lock held.
 func recordSent(c *nbio.Conn, _ []byte, n int) {
@@ -60,7 +72,9 @@
 		return
 	}
 	caller.sent.Add(int64(n))
-	caller.unsent.Add(-int64(n))
+	if caller.unsent.Add(-int64(n)) == 0 && caller.closing.Load() {
+		go func() { _ = c.Close() }() // fails only if already closed
+	}
 }
 
 // progress is when the caller of a connection has last taken bytes of its answers.
@@ -90,6 +104,20 @@
 // hasUnsent reports whether the caller has not taken all of its answers.
 func (o *openConn) hasUnsent() bool { return o.caller != nil && o.caller.unsent.Load() > 0 }
 
+// Unsent returns the number of connections whose callers have not taken all of their
+// answers.
+func (s *Server) Unsent() int {
+	s.conns.mu.Lock()
+	defer s.conns.mu.Unlock()
+	unsent := 0
+	for _, o := range s.conns.open {
+		if o.hasUnsent() {
+			unsent++
+		}
+	}
+	return unsent
+}
+
 // netConn returns the engine's connection that the library writes an answer to.
 func netConn(conn net.Conn) net.Conn {
 	if caller, ok := conn.(*callerConn); ok {
--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -153,8 +153,9 @@
 }
 
 // recordBytes records n bytes of a request and reports whether they are to be parsed.
-// They are not if the request has been rejected, or if they make it larger than the
-// limits allow; then status is the one to reject it with, and otherwise 0.
+// They are not if the request has been rejected, if the connection is about to be closed, or
+// if they make the request larger than the limits allow; then status is the one to reject it
+// with, and otherwise 0.
 func (c *conns) recordBytes(conn net.Conn, n int, l Limits) (status int, accepted bool) {
 	now := time.Now()
 	c.mu.Lock()
@@ -163,7 +164,7 @@
 	if o == nil {
 		return 0, true
 	}
-	if !o.rejectedAt.IsZero() {
+	if !o.rejectedAt.IsZero() || o.caller != nil && o.caller.closing.Load() {
 		return 0, false
 	}
 	if o.requestStarted.IsZero() {
@@ -215,13 +216,13 @@
 	return err == nil && unread
 }
 
-// closeIdle closes the connections that have had no request in flight for idleGrace and
-// have no unread bytes. A request that was read only in part counts as none.
+// closeIdle closes the connections that have had no request in flight for idleGrace, whose
+// callers have taken their answers, and that have no unread bytes. A request that was read only in part counts as none.
 func (c *conns) closeIdle() {
 	c.mu.Lock()
 	var idle []net.Conn
 	for _, o := range c.open {
-		if !c.isAdding(o) && o.requests == 0 && time.Since(o.idleSince) >= idleGrace && !o.hasUnread() {
+		if !c.isAdding(o) && o.requests == 0 && time.Since(o.idleSince) >= idleGrace && !o.hasUnsent() && !o.hasUnread() {
 			idle = append(idle, o.conn)
 		}
 	}
--- a/share/httpd/slow_test.go
+++ b/share/httpd/slow_test.go
@@ -1,6 +1,8 @@
 package httpd
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"math"
 	"net"
@@ -9,8 +11,32 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
+// largeAnswer is more than the buffers of both sockets take.
+var largeAnswer = bytes.Repeat([]byte("0123456789abcdef"), 16<<20/16)
+
+// startLarge starts a server whose answers are large, and opens a connection to it that
+// takes little at a time.
+func startLarge(t *testing.T, l Limits) (*Server, net.Conn) {
+	t.Helper()
+	s := &Server{Address: "127.0.0.1:0", Limits: l, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header()["Content-Length"] = []string{"16777216"}
+		_, _ = w.Write(largeAnswer)
+	})}
+	assert.NilError(t, s.Start())
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(32<<10))
+	assert.NilError(t, c.SetDeadline(time.Now().Add(30*time.Second)))
+	t.Cleanup(func() {
+		_ = c.Close()
+		assert.NilError(t, s.Close())
+	})
+	return s, c
+}
+
 // A request takes longer than any time that the server knows of: operators set timeouts, and
 // change them while the server runs. A limit of 10 s from the end of the request closed its
 // connection without an answer.
@@ -40,6 +66,64 @@
 	assert.Equal(t, s.engine.WriteTimeout, time.Duration(0))
 }
 
+// A caller reads its answer slowly, for longer than the idle timeout and than 10 s in sum. Its
+// connection has no request in flight by then, and must not be closed before the end.
+func TestSlowReaderGetsItsWholeAnswer(t *testing.T) {
+	t.Parallel()
+	for name, request := range map[string]string{
+		"kept":  plainRequest,
+		"close": "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, c := startLarge(t, Limits{IdleTimeout: 300 * time.Millisecond})
+			_, err := io.WriteString(c, request)
+			assert.NilError(t, err)
+			const steps, pause = 22, 500 * time.Millisecond
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.NilError(t, err)
+			read := 0
+			for part := make([]byte, 1+len(largeAnswer)/steps); err == nil; {
+				time.Sleep(pause)
+				var n int
+				n, err = io.ReadFull(res.Body, part)
+				assert.Assert(t, bytes.Equal(part[:n], largeAnswer[read:read+n]))
+				read += n
+			}
+			assert.Equal(t, read, len(largeAnswer), "%v", err)
+			assert.NilError(t, res.Body.Close())
+		})
+	}
+}
+
+// A host that leaves closes idle connections. A caller that is still reading its answer must
+// get the rest, and the host must know of it before it ends.
+func TestIdleCloseSparesUnsentAnswers(t *testing.T) {
+	s, c := startLarge(t, Limits{})
+	_, err := io.WriteString(c, plainRequest)
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	time.Sleep(2 * idleGrace)
+	assert.Equal(t, s.Unsent(), 1)
+	s.CloseIdle()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(body, largeAnswer))
+	assert.NilError(t, res.Body.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := s.Unsent(); n > 0 {
+			return poll.Continue("%d connections have unsent bytes", n)
+		}
+		return poll.Success()
+	})
+	// What was counted must not keep an idle connection open.
+	time.Sleep(2 * idleGrace)
+	s.CloseIdle()
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "EOF")
+}
+
 // A caller stops reading. Its connection and the memory of its answer must not be held
 // forever, but pauses below the limit must not add up.
 func TestCallerThatStopsReadingIsClosed(t *testing.T) {
