proxy: wait for unsent answers, within the platform's grace, when leaving

A caller that was still reading its answer when the host left got a part of it; requests that take longer than 5 s were ended although the platform's grace allowed more. Nobody is known to have been hit.

Cause: Leave counted requests whose handler had not returned, not answers that the library had not sent, and its 5 s stood for the usual grace.

Change: Leave waits for both, for grace_s less the second that Close has. With the grace of 6 s of all sites that is 5 s as before.

--- a/share/clock/clock.go
+++ b/share/clock/clock.go
@@ -18,6 +18,16 @@
 	Minute Milli = 60 * Second
 )
 
+// MaxSpan is the longest duration that is distinguished, 100 years. A point in time plus
+// MaxSpan, and MaxSpan as a time.Duration, are within the range of their types.
+const MaxSpan = 100 * 365 * 24 * 60 * Minute
+
+// FromMillis converts a number of ms that may be out of range, as in a file, to a duration
+// of at most MaxSpan in either direction.
+func FromMillis(ms float64) Milli {
+	return Milli(max(-float64(MaxSpan), min(ms, float64(MaxSpan))))
+}
+
 // Duration converts m for the standard library.
 func (m Milli) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -35,7 +36,10 @@
 	// Memory is the memory of the process, in bytes, of which replies of leaves get a part;
 	// 0 if it is unknown.
 	Memory int64
-	Self   router.HostInfo // this host
+	// Grace is how long after the signal to stop the platform kills the process; 0 means
+	// defaultGrace.
+	Grace clock.Milli
+	Self  router.HostInfo // this host
 	// Regions maps failure domains to regions.
 	Regions map[string]string
 	Policy  router.Policy
@@ -235,31 +239,43 @@
 	// that it leaves: the load balancer polls once a second and removes the host after
 	// the second refusal.
 	balancerDelay = 2500 * time.Millisecond
-	// maxLeaveTime is how long Leave waits for requests in flight, including
-	// balancerDelay. Close then gives them a final answer: the platform kills the
-	// process a second later.
-	maxLeaveTime      = 5 * time.Second
+	// defaultGrace is the platform's usual grace.
+	defaultGrace = 6 * clock.Second
+	// closeTime is what Leave leaves of the grace, for Close to give the requests that are
+	// still in flight a final answer.
+	closeTime         = clock.Second
 	leavePollInterval = 50 * time.Millisecond
 )
 
+// leaveTime returns how long Leave waits for requests in flight, including balancerDelay.
+func (s *Server) leaveTime() time.Duration {
+	grace := cmp.Or(s.Settings.Grace, defaultGrace)
+	return max(balancerDelay, (grace - closeTime).Duration())
+}
+
+// underWay returns the number of requests in flight and of connections whose callers are
+// still reading an answer.
+func (s *Server) underWay() int64 { return s.inFlight.Load() + int64(s.server.Unsent()) }
+
 // Leave shuts down gracefully: it reports not ready, announces on each answer that the
 // connection closes, closes idle connections once the load balancer sends no new
-// callers, and returns when no request is in flight or after maxLeaveTime.
+// callers, and returns when no request is in flight and all answers are sent, or after
+// leaveTime.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
 	s.peers.leave()
-	s.Log.Info().Int64("under-way", s.inFlight.Load()).Msg("leaving")
+	s.Log.Info().Int64("under-way", s.underWay()).Msg("leaving")
 	time.Sleep(balancerDelay)
-	for waited := balancerDelay; waited < maxLeaveTime; waited += leavePollInterval {
+	for waited := balancerDelay; waited < s.leaveTime(); waited += leavePollInterval {
 		// CloseIdle spares connections that had a request in the last 100 ms, so the
 		// loop makes a few rounds even if no request is in flight.
 		s.server.CloseIdle()
-		if s.inFlight.Load() == 0 && waited > balancerDelay+4*leavePollInterval {
+		if s.underWay() == 0 && waited > balancerDelay+4*leavePollInterval {
 			break
 		}
 		time.Sleep(leavePollInterval)
 	}
-	s.Log.Info().Int64("under-way", s.inFlight.Load()).Msg("left")
+	s.Log.Info().Int64("under-way", s.underWay()).Msg("left")
 }
 
 // Close stops everything and waits. Requests in flight get a final answer.
