router: take the route's timeout where a caller names no deadline

Callers that name no deadline got 504 after 10 s under a longer timeout, those that name one near the largest number at once. Nobody is known to have been hit.

Cause: 10 s were assumed for such callers, and times were added and converted without a bound.

Change: without a deadline the route's timeout is all there is, and such a request teaches the estimate of callers' waits nothing.

--- a/share/router/arrive.go
+++ b/share/router/arrive.go
@@ -9,9 +9,6 @@
 	"dandelionstile/share/route"
 )
 
-// defaultWait is the wait that is assumed for callers that name none.
-const defaultWait = 10 * clock.Second
-
 // arrive admits or refuses a request, and sends the shards of an admitted one to leaves
 // and other hosts.
 func (e *Engine) arrive(now clock.Milli, a Arrival) {
@@ -127,9 +124,9 @@
 // forwarded request, whose wait is at most what remains of its caller's.
 func (e *Engine) setDeadlines(now clock.Milli, q *query, a Arrival) clock.Milli {
 	r := q.route
-	wait := a.Wait
+	wait := min(a.Wait, clock.MaxSpan)
 	if wait <= 0 {
-		wait = defaultWait
+		wait = r.Timeout // the caller named none, so the operators' limit is all there is
 	}
 	q.deadline = now + wait
 	if a.Forwarded {
@@ -137,16 +134,17 @@
 		q.target = min(now+max(a.Target-forwardSlack, minAnswerTime), q.deadline)
 		return 0
 	}
-	if r.Timeout > 0 {
-		q.deadline = min(q.deadline, now+r.Timeout)
-	}
+	q.deadline = min(q.deadline, now+r.Timeout)
 	estimate := e.waitEstimates[r.Name]
 	if estimate == nil {
 		estimate = newWaitEstimate(r.Timeout)
 		e.waitEstimates[r.Name] = estimate
 	}
-	elapsed := estimate.sinceFirstAttempt(wait)
-	estimate.learn(wait)
+	elapsed := clock.Milli(0)
+	if a.Wait > 0 {
+		elapsed = estimate.sinceFirstAttempt(wait)
+		estimate.learn(wait)
+	}
 	// The target counts from the caller's first attempt until the answer reaches the
 	// caller, so the round trip and the margin are subtracted as well.
 	target := now + r.Target - elapsed - e.callers.learnRoundTrip(a.Remote, elapsed) - e.Policy.Margin
