httpd: limit the head of a request before it is complete

Nobody is known to have been hit; callers would have lost a host.

Cause: the size of a head was checked once it was complete. Until then only the limit on the whole request held, 10 MB on the address for other hosts, and the library keeps headers in a form that takes many times their size.

Change: the server counts the bytes of a head as they arrive, and rejects one beyond the limit by more than a read with 431. Where a head and a request end, it learns from the library's parser.

--- a/share/httpd/caller.go
+++ b/share/httpd/caller.go
@@ -14,7 +14,8 @@
 const minReadPause = 10 * time.Second
 
 // callerConn is a connection as the library's HTTP side sees it. It tells what the library
-// does not: how much of an answer the caller has not taken yet.
+// does not: how much of an answer the caller has not taken yet, and how large the head of
+// an incomplete request is.
 type callerConn struct {
 	*nbio.Conn
 	// unsent is the number of bytes of answers that the library keeps in memory until the
@@ -22,6 +23,7 @@
 	unsent, sent atomic.Int64
 	// closing is set if the connection is to be closed once nothing is unsent.
 	closing atomic.Bool
+	head    headMeter
 }
 
 // opened sets up a connection that the engine is adding, before its first event. It leaves
@@ -31,7 +33,8 @@
 	if !ok {
 		return
 	}
-	caller := &callerConn{Conn: c}
+	caller := &callerConn{Conn: c, head: headMeter{Processor: parser.Processor}}
+	parser.Processor = &caller.head
 	parser.Conn.(*nbhttp.Conn).Conn = caller
 	s.conns.setCaller(caller)
 }
--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -172,7 +172,11 @@
 	}
 	o.lastRead = now
 	o.bytes += n
-	if status = l.checkSize(o.bytes); status != 0 {
+	head := 0
+	if o.caller != nil {
+		head = o.caller.head.add(n)
+	}
+	if status = l.checkSize(head, o.bytes); status != 0 {
 		o.rejectedAt = now
 	}
 	return status, status == 0
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -63,9 +63,13 @@
 	chunkingBytes = 16 << 10
 )
 
-// checkSize returns the status to reject an incomplete request with if it is
-// already larger than the limits allow, or 0.
-func (l Limits) checkSize(bytes int) int {
+// checkSize returns the status to reject an incomplete request with if it, or its incomplete
+// head, is already larger than the limits allow, or 0. The exact size of a head is checked
+// once it is complete.
+func (l Limits) checkSize(head, bytes int) int {
+	if head > l.MaxHeaderBytes+readBufferBytes {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
 	if bytes > l.MaxHeaderBytes+l.MaxBodyBytes+l.MaxBodyBytes/4+chunkingBytes {
 		return http.StatusRequestEntityTooLarge
 	}
