httpd: bound the memory of requests and unread answers together

Many requests at once, or many answers that their callers leave unread, could take more than a host has, each within its limits. Nobody is known to have been hit; callers would have lost a host.

Change: what is read or handled, and what is unsent, counts against an eighth of the process's memory (share/quota). A request beyond it is rejected with 503 and Retry-After, as it has not run. Both are logged.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+
+	"dandelionstile/share/quota"
 )
 
 // idleGrace is how long a connection must be without a request before it counts as
@@ -18,8 +20,9 @@
 
 // conns holds a server's open connections by remote address.
 type conns struct {
-	mu   sync.Mutex
-	open map[string]*openConn
+	memory *quota.Bytes
+	mu     sync.Mutex
+	open   map[string]*openConn
 	// adding has the connections that the engine is adding. It counts one that is closed
 	// before it has been added as open for ever.
 	adding map[net.Conn]struct{}
@@ -31,6 +34,9 @@
 	// caller is set once the engine is adding the connection.
 	caller   *callerConn
 	progress progress
+	// heldRequests and heldAnswers are the bytes of requests and of unsent answers that count
+	// for memory.
+	heldRequests, heldAnswers int64
 	// requests counts the requests that were read and whose handler has not returned.
 	requests int
 	// idleSince is when the last handler returned or, before the first request,
@@ -56,7 +62,11 @@
 	if c.open == nil {
 		c.open = map[string]*openConn{}
 	}
-	c.open[conn.RemoteAddr().String()] = &openConn{conn: conn, idleSince: time.Now()}
+	address := conn.RemoteAddr().String()
+	if former := c.open[address]; former != nil {
+		c.releaseHeld(former) // it is not found any more when it is removed
+	}
+	c.open[address] = &openConn{conn: conn, idleSince: time.Now()}
 }
 
 // beginAdd keeps a connection from being closed as idle or stalled until endAdd.
@@ -134,7 +144,8 @@
 func (c *conns) remove(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.find(conn) != nil {
+	if o := c.find(conn); o != nil {
+		c.releaseHeld(o)
 		delete(c.open, conn.RemoteAddr().String())
 	}
 }
@@ -176,7 +187,11 @@
 	if o.caller != nil {
 		head = o.caller.head.add(n)
 	}
-	if status = l.checkSize(head, o.bytes); status != 0 {
+	status = l.checkSize(head, o.bytes)
+	if status == 0 {
+		status = c.holdRequest(o, n)
+	}
+	if status != 0 {
 		o.rejectedAt = now
 	}
 	return status, status == 0
@@ -191,6 +206,10 @@
 		o.requests--
 		o.cancel = nil
 		o.idleSince = time.Now()
+		if o.requests == 0 && o.requestStarted.IsZero() {
+			c.memory.Release(o.heldRequests)
+			o.heldRequests = 0
+		}
 	}
 }
 
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -22,6 +22,7 @@
 	"dandelionstile/share/clock"
 	"dandelionstile/share/evloop"
 	_ "dandelionstile/share/netio" // sets up the library
+	"dandelionstile/share/quota"
 )
 
 // Errors of reading a request.
@@ -67,6 +68,9 @@
 	MaxConns int
 	// Limits apply until SetLimits replaces them.
 	Limits Limits
+	// Memory bounds the bytes of all requests that are read or handled, and of all answers
+	// that callers have not taken yet. Servers may share it; nil sets quota.DefaultLimit.
+	Memory *quota.Bytes
 	// OnRejected is called for each request that is outside the limits and does
 	// not reach the handler; it may be nil.
 	OnRejected func(remote string, status int)
@@ -95,6 +99,10 @@
 // and then never returns, so the daemon would neither run nor fail.
 func (s *Server) Start() error {
 	s.SetLimits(s.Limits)
+	if s.Memory == nil {
+		s.Memory = &quota.Bytes{}
+	}
+	s.conns.memory = s.Memory
 	ln, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.Address)
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -140,7 +140,11 @@
 // errorResponse returns an HTTP response without a body, for a request that does
 // not reach a handler.
 func errorResponse(status int) []byte {
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+	retry := ""
+	if status == http.StatusServiceUnavailable {
+		retry = "Retry-After: 1\r\n" // other requests will have given memory back
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), retry)
 }
 
 // sweep closes the connections that were idle or rejected for too long, or whose callers do
@@ -153,7 +157,13 @@
 		if c.isAdding(o) {
 			continue
 		}
-		switch l.nextAction(o, now) {
+		action := l.nextAction(o, now)
+		if !c.holdAnswers(o) {
+			// The answers of callers that do not read must not take the memory that all
+			// others need.
+			action = closeConn
+		}
+		switch action {
 		case closeConn:
 			expired = append(expired, o.conn)
 			if o.hasUnsent() {
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -33,8 +33,8 @@
 	Seeds []string
 	// SourceIP is the local IP of connections to leaves.
 	SourceIP string
-	// Memory is the memory of the process, in bytes, of which replies of leaves get a part;
-	// 0 if it is unknown.
+	// Memory is the memory of the process, in bytes, of which replies of leaves and requests
+	// get a part each; 0 if it is unknown.
 	Memory int64
 	// Grace is how long after the signal to stop the platform kills the process; 0 means
 	// defaultGrace.
@@ -90,9 +90,10 @@
 	s.stopped = make(chan struct{})
 	s.pool = httpc.Pool{Dialect: s.Settings.Dialect, Source: s.Settings.SourceIP, Clock: s.Clock, OnDone: s.callDone, OnProbed: s.probeDone, OnConnRefused: s.connRefused}
 	s.pool.Memory.Limit = quota.ForHost(s.Settings.Memory)
+	requests := &quota.Bytes{Limit: quota.ForHost(s.Settings.Memory)}
 	s.server = httpd.Server{
 		Address: s.Settings.CallerAddress, Handler: s.wrap(s.serve),
-		OnRejected: s.requestRejected, Log: s.Log,
+		OnRejected: s.requestRejected, Log: s.Log, Memory: requests,
 	}
 	go s.loop()
 	if err := s.server.Start(); err != nil {
@@ -101,7 +102,7 @@
 	if s.Settings.GossipAddress == "" {
 		return nil
 	}
-	s.forwards = httpd.Server{Address: s.Settings.ForwardAddress, Handler: s.wrap(s.serveForwarded), Log: s.Log}
+	s.forwards = httpd.Server{Address: s.Settings.ForwardAddress, Handler: s.wrap(s.serveForwarded), Log: s.Log, Memory: requests}
 	if err := s.forwards.Start(); err != nil {
 		return errors.CombineErrors(err, s.server.Close())
 	}
