httpc: let leaves read large bodies late

Callers got 502 about 1.7 s after a request with a large body at a sound leaf that reads it only when it has a slot; the request may have run. Nobody is known to have been hit.

Cause: connections to leaves have TCP_USER_TIMEOUT at 1.5 s, to notice hosts that are down. The kernel also counts the time for which the peer's buffer is full, although the peer acknowledges every probe.

Evidence: a leaf that reads 8 MB after 6 s: the call is broken after 1.77 s, and the leaf gets 128 KB and a reset (one run on the code before).

Change: while a body above 4 KB is in flight the kernel's timeout is off, and the connection is checked four times a second: it is closed if data, or more than one probe, has gone without an acknowledgement for the same 1.5 s. Where the kernel does not tell, its timeout stays.

That a host which is down is noticed as soon as before is held by a test of the decision only; loopback cannot play it.

--- a/share/httpc/conn.go
+++ b/share/httpc/conn.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,9 +34,6 @@
 	maxForeignReplies = 3
 	// readBufferBytes fits an ordinary reply with its headers.
 	readBufferBytes = 4 << 10
-	// unackedTimeout closes a connection whose peer acknowledges no data because
-	// its host is down or unreachable.
-	unackedTimeout = 1500 * time.Millisecond
 	// idleMargin is how long before a leaf's idle timeout its connection is no
 	// longer used, so that a request does not cross the leaf's close.
 	idleMargin = clock.Second
@@ -258,15 +254,3 @@
 	_, err := c.net.Write(b.Bytes())
 	return errors.Wrap(err, "send request")
 }
-
-// setSocketOptions sets the options of a connection before it is opened.
-func setSocketOptions(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.CombineErrors(err, optErr)
-}
-
-// tcpUserTimeout is TCP_USER_TIMEOUT, which the syscall package lacks.
-const tcpUserTimeout = 0x12
--- a/share/httpc/pool.go
+++ b/share/httpc/pool.go
@@ -277,17 +277,20 @@
 func (p *Pool) exchange(ctx context.Context, c *conn, j *job, send router.Send) router.CallDone {
 	// The reply may arrive before the whole body is written. The leaf then keeps
 	// reading, and the connection is not reused unless the body was written.
-	written := make(chan error, 1)
+	written, endWait := make(chan error, 1), func() {}
 	if len(send.Request.Body) > inlineBodyBytes {
+		endWait = c.awaitSlowReader()
 		go func() { written <- c.write(j.request, send.Request.Target, send.Request.Body) }()
 	} else {
 		written <- c.write(j.request, send.Request.Target, send.Request.Body)
 	}
 	select {
 	case r := <-j.done:
+		endWait()
 		return p.completeCall(c, send.Leaf, j, r, written)
 	case <-ctx.Done():
 		c.close()
+		endWait()
 		return router.CallDone{Kind: call.Cancelled, Cause: "no reply"}
 	}
 }
