httpd: answer rejected requests after those before them

A caller that sent a request, and another one that was rejected before the first had its answer, got 413, 431 or 408 in place of that answer. These statuses promise that a request has not run. Nobody is known to have been hit.

Cause: the status was written at once, on the connection of a request that was still handled.

Change: the status is written in the connection's queue of requests, and the time that the connection stays open for it begins then.

Result: the test passes.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -197,6 +197,15 @@
 	return status, status == 0
 }
 
+// recordRejected records that a rejected request is being answered: rejectLinger begins.
+func (c *conns) recordRejected(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.find(conn); o != nil {
+		o.rejectedAt = time.Now()
+	}
+}
+
 // recordRequestDone records that the handler of a request has returned. The connection is
 // idle from then on unless it has another request.
 func (c *conns) recordRequestDone(conn net.Conn) {
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -198,7 +198,9 @@
 		case now := <-ticks.C:
 			timedOut, unread := s.conns.sweep(*s.limits.Load(), now)
 			for _, conn := range timedOut {
-				s.reject(conn, http.StatusRequestTimeout)
+				if c, ok := conn.(*nbio.Conn); ok {
+					s.reject(c, http.StatusRequestTimeout)
+				}
 			}
 			for _, conn := range unread {
 				s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Msg("answer-unread")
@@ -266,7 +268,7 @@
 
 // recordBytes records n bytes of a request and reports whether to parse them. If they
 // make the request too large, it rejects the request.
-func (s *Server) recordBytes(conn net.Conn, n int) bool {
+func (s *Server) recordBytes(conn *nbio.Conn, n int) bool {
 	status, accepted := s.conns.recordBytes(conn, n, *s.limits.Load())
 	if status != 0 {
 		s.reject(conn, status)
@@ -274,15 +276,17 @@
 	return accepted
 }
 
-// reject reports an incomplete request as rejected and answers it with an error status.
-func (s *Server) reject(conn net.Conn, status int) {
+// reject reports an incomplete request as rejected and answers it with an error status, once
+// the former requests on its connection have their answers: the caller would take the status
+// for theirs, and it promises that a request has not run.
+func (s *Server) reject(conn *nbio.Conn, status int) {
 	s.reportRejected(conn.RemoteAddr().String(), status)
-	if c, ok := conn.(*nbio.Conn); ok {
-		if caller := callerOf(c); caller != nil {
-			conn = caller // counts the bytes
+	conn.Execute(func() {
+		s.conns.recordRejected(conn)
+		if caller := callerOf(conn); caller != nil {
+			_, _ = caller.Write(errorResponse(status)) // the caller may have disconnected
 		}
-	}
-	_, _ = conn.Write(errorResponse(status)) // the caller may have disconnected
+	})
 }
 
 // reportRejected calls OnRejected, if it is set.
--- a/share/httpd/limits_test.go
+++ b/share/httpd/limits_test.go
@@ -298,3 +298,31 @@
 	release()
 	assert.Equal(t, readStatus(t, conn), http.StatusOK)
 }
+
+// A caller sends a request and, before it is answered, another one that is too large. The status
+// of the second came first: the caller takes it for the first, which has run.
+func TestRejectionComesAfterFormerAnswers(t *testing.T) {
+	release := make(chan struct{})
+	s := &Server{Address: "127.0.0.1:0", Limits: Limits{MaxBodyBytes: 1000}, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })}
+	assert.NilError(t, s.Start())
+	defer func() { assert.NilError(t, s.Close()) }()
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(c, plainRequest)
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n"+strings.Repeat("x", 90000))
+	assert.NilError(t, err)
+	time.AfterFunc(1500*time.Millisecond, func() { close(release) })
+	in := bufio.NewReader(c)
+	for _, want := range []int{http.StatusOK, http.StatusRequestEntityTooLarge} {
+		res, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, res.StatusCode, want)
+		_, err = io.Copy(io.Discard, res.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+	}
+}
