httpd: count what requests take besides their bytes

Requests that queue on a connection, and headers of a few bytes, take up to forty times their size. The memory limit counted their bytes only.

Change: each request counts 2 KB more, each header 128 bytes.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -158,16 +158,17 @@
 	defer c.mu.Unlock()
 	if o := c.find(conn); o != nil {
 		o.requests++
+		c.holdParsed(o)
 		o.requestStarted = time.Time{}
 		o.bytes = 0
 	}
 }
 
-// recordBytes records n bytes of a request and reports whether they are to be parsed.
+// recordBytes records bytes of a request and reports whether they are to be parsed.
 // They are not if the request has been rejected, if the connection is about to be closed, or
 // if they make the request larger than the limits allow; then status is the one to reject it
 // with, and otherwise 0.
-func (c *conns) recordBytes(conn net.Conn, n int, l Limits) (status int, accepted bool) {
+func (c *conns) recordBytes(conn net.Conn, data []byte, l Limits) (status int, accepted bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -182,14 +183,14 @@
 		o.requestStarted = now
 	}
 	o.lastRead = now
-	o.bytes += n
+	o.bytes += len(data)
 	head := 0
 	if o.caller != nil {
-		head = o.caller.head.add(n)
+		head = o.caller.head.add(len(data))
 	}
 	status = l.checkSize(head, o.bytes)
-	if status == 0 {
-		status = c.holdRequest(o, n)
+	if status == 0 && !c.holdRequest(o, data, head > 0) {
+		status = http.StatusServiceUnavailable
 	}
 	if status != 0 {
 		o.rejectedAt = now
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -230,7 +230,7 @@
 			_ = c.CloseWithError(io.EOF) // the caller has closed it
 			return
 		}
-		if n > 0 && s.recordBytes(c, n) {
+		if n > 0 && s.recordBytes(c, (*buf)[:n]) {
 			c.DataHandler()(c, (*buf)[:n])
 		}
 		if n < len(*buf) {
@@ -266,10 +266,10 @@
 	return &b
 }
 
-// recordBytes records n bytes of a request and reports whether to parse them. If they
+// recordBytes records bytes of a request and reports whether to parse them. If they
 // make the request too large, it rejects the request.
-func (s *Server) recordBytes(conn *nbio.Conn, n int) bool {
-	status, accepted := s.conns.recordBytes(conn, n, *s.limits.Load())
+func (s *Server) recordBytes(conn *nbio.Conn, data []byte) bool {
+	status, accepted := s.conns.recordBytes(conn, data, *s.limits.Load())
 	if status != 0 {
 		s.reject(conn, status)
 	}
--- a/share/httpd/memory.go
+++ b/share/httpd/memory.go
@@ -1,15 +1,34 @@
 package httpd
 
-import "net/http"
+import "bytes"
 
-// holdRequest counts n more bytes of a request for memory, and returns the status to reject
-// the request with if there is too little, or 0. The caller holds mu.
-func (c *conns) holdRequest(o *openConn, n int) int {
-	if !c.memory.Grow(o.heldRequests, int64(n)) {
-		return http.StatusServiceUnavailable
+const (
+	// requestCost is the memory that a request takes besides its bytes. Requests may arrive
+	// on one connection faster than they are handled.
+	requestCost = 2 << 10
+	// headerCost is the memory that a header takes besides its text, in bytes.
+	headerCost = 128
+)
+
+// holdRequest counts bytes of a request for memory, and reports whether there is enough.
+// Within a head, each line is a header. The caller holds mu.
+func (c *conns) holdRequest(o *openConn, data []byte, isHead bool) bool {
+	cost := int64(len(data))
+	if isHead {
+		cost += int64(headerCost * bytes.Count(data, []byte{'\n'}))
+	}
+	if !c.memory.Grow(o.heldRequests, cost) {
+		return false
 	}
-	o.heldRequests += int64(n)
-	return 0
+	o.heldRequests += cost
+	return true
+}
+
+// holdParsed counts a request that has been read to its end, even if there is too little
+// memory; the next bytes on its connection are rejected then. The caller holds mu.
+func (c *conns) holdParsed(o *openConn) {
+	c.memory.Add(requestCost)
+	o.heldRequests += requestCost
 }
 
 // releaseHeld gives back the memory that a closed connection counts for. The caller holds mu.
--- a/share/httpd/memory_test.go
+++ b/share/httpd/memory_test.go
@@ -100,3 +100,27 @@
 	}
 	waitReleased(t, s)
 }
+
+// A caller or another host sends small requests without end, and does not wait for their
+// answers. They queue on the connection in a form that takes many times their size.
+func TestQueuedRequestsStayBelowTheMemoryLimit(t *testing.T) {
+	const limit = 4 << 20
+	release := make(chan struct{})
+	s := &Server{Address: "127.0.0.1:0", Memory: &quota.Bytes{Limit: limit}, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })}
+	assert.NilError(t, s.Start())
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	c := dialRaw(t, s, plainRequest)
+	assert.NilError(t, c.SetDeadline(time.Now().Add(time.Second)))
+	block := strings.Repeat(plainRequest, 1000)
+	for sent := 0; sent < 8<<20; sent += len(block) {
+		if _, err := io.WriteString(c, block); err != nil {
+			break
+		}
+	}
+	// The bytes of one read are parsed whole.
+	oneRead := int64(readBufferBytes / len(plainRequest) * requestCost)
+	assert.Assert(t, s.Memory.Used() <= limit+oneRead, "%d bytes", s.Memory.Used())
+	close(release)
+	_ = c.Close()
+	waitReleased(t, s)
+}
--- a/share/quota/quota.go
+++ b/share/quota/quota.go
@@ -50,6 +50,9 @@
 	return false
 }
 
+// Add adds n bytes to the holding of a user, whether or not Grow would allow it.
+func (b *Bytes) Add(n int64) { b.Release(-n) }
+
 // Release gives n bytes back.
 func (b *Bytes) Release(n int64) {
 	if b != nil {
