httpd: send former answers before the close of a rejected connection

A caller that sent a request to be rejected before it had read the answer to the former one got a part of that answer. Nobody is known to have been hit.

Cause: the connection was closed a second after the rejection, whatever was unsent.

Evidence: the test reads an unexpected EOF without the change.

Change: as long as something is unsent, only the limit on pauses applies.

--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -119,14 +119,14 @@
 	switch {
 	case o.requests > 0:
 		return keepOpen
-	case !o.rejectedAt.IsZero():
-		if now.Sub(o.rejectedAt) > rejectLinger {
-			return closeConn
-		}
 	case o.hasUnsent():
 		if pause > max(l.IdleTimeout, minReadPause) {
 			return closeConn
 		}
+	case !o.rejectedAt.IsZero():
+		if now.Sub(o.rejectedAt) > rejectLinger {
+			return closeConn
+		}
 	case !o.requestStarted.IsZero():
 		if now.Sub(o.lastRead) > l.StallTimeout && !o.hasUnread() || now.Sub(o.requestStarted) > maxStallTimeouts*l.StallTimeout {
 			return rejectTimedOut
--- a/share/httpd/slow_test.go
+++ b/share/httpd/slow_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,6 +125,27 @@
 	assert.ErrorContains(t, err, "EOF")
 }
 
+// A caller has not read its answer when it sends a request that is rejected. The close after the
+// rejection must not cut off the former answer.
+func TestRejectionSparesUnsentAnswers(t *testing.T) {
+	t.Parallel()
+	_, c := startLarge(t, Limits{MaxBodyBytes: 1000})
+	_, err := io.WriteString(c, plainRequest+"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 200000))
+	assert.NilError(t, err)
+	time.Sleep(rejectLinger + 4*sweepInterval)
+	in := bufio.NewReader(c)
+	res, err := http.ReadResponse(in, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Assert(t, bytes.Equal(body, largeAnswer))
+	res, err = http.ReadResponse(in, nil)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
+}
+
 // A caller stops reading. Its connection and the memory of its answer must not be held
 // forever, but pauses below the limit must not add up.
 func TestCallerThatStopsReadingIsClosed(t *testing.T) {
