httpd: take buffers of a sensible size for bodies

The body of a request that comes in chunks of one byte takes 13.7 MB for 400,000 bytes, as the library allocates a buffer for each chunk; the memory limit counts what arrives, 2.4 MB.

Change: httpd has the allocator of fetch, which moves to share/netio.

Result: the new test passes; without the allocator it measures 13.7 MB.

--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -14,11 +14,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"dandelionstile/share/evloop"
-	_ "dandelionstile/share/netio" // sets up the library
+	"dandelionstile/share/netio"
 	"dandelionstile/share/quota"
 )
 
@@ -67,7 +66,7 @@
 func (e *Engine) Start() error {
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name: "fetch", NPoller: pollers, MaxHTTPBodySize: MaxReplyBytes, SupportServerOnly: false,
-		BodyAllocator: bodyAllocator{mempool.DefaultMemPool},
+		BodyAllocator: netio.NewBodyAllocator(),
 	})
 	engine.OnData(e.onData)
 	err := engine.Start()
--- a/share/fetch/intake.go
+++ b/share/fetch/intake.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/lesismal/nbio/mempool"
 
 	"dandelionstile/share/quota"
 )
@@ -30,10 +29,6 @@
 	maxWireBytes = MaxReplyBytes + MaxReplyBytes/4
 	// headerCost is the memory that a header takes besides its text, in bytes.
 	headerCost = 128
-	// minBodyBlock is the smallest buffer of a body, in bytes. The library begins with the
-	// size of the first chunk; with a buffer for each chunk of one byte, a body would take
-	// fifty times its size.
-	minBodyBlock = 512
 )
 
 // intake bounds what a connection receives, before the library parses it. The library
@@ -110,12 +105,3 @@
 	}
 	return len(data)
 }
-
-// bodyAllocator allocates the buffers of bodies.
-type bodyAllocator struct{ mempool.Allocator }
-
-// Malloc returns a buffer of size bytes, with room for minBodyBlock.
-func (bodyAllocator) Malloc(size int) *[]byte {
-	b := make([]byte, size, max(size, minBodyBlock))
-	return &b
-}
--- a/share/httpc/conn.go
+++ b/share/httpc/conn.go
@@ -192,8 +192,8 @@
 }
 
 // readOne reads the next reply, apart from interim ones (1xx), and checks that it is
-// complete, within the limits of source, belongs to the call and, if successful, has a stamp if the call
-// needs one. A reply without a request ID counts as belonging to the call.
+// complete, within the limits of its source, belongs to the call and, if successful, has a
+// stamp if the call needs one. A reply without a request ID counts as belonging to the call.
 func (c *conn) readOne(in *source, br *bufio.Reader, j *job) result {
 	request := j.request
 	res, err := http.ReadResponse(br, request)
--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -250,7 +250,8 @@
 }
 
 // closeIdle closes the connections that have had no request in flight for idleGrace, whose
-// callers have taken their answers, and that have no unread bytes. A request that was read only in part counts as none.
+// callers have taken their answers, and that have no unread bytes. A request that was read only
+// in part counts as none.
 func (c *conns) closeIdle() {
 	c.mu.Lock()
 	var idle []net.Conn
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -21,7 +21,7 @@
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/evloop"
-	_ "dandelionstile/share/netio" // sets up the library
+	"dandelionstile/share/netio"
 	"dandelionstile/share/quota"
 )
 
@@ -112,8 +112,8 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "httpd", MaxLoad: s.maxConns(), MaxHTTPBodySize: readLimitBytes, ReadLimit: readLimitBytes,
 		KeepaliveTime: noTimeout, NPoller: pollers,
-		MessageHandlerPoolSize: maxHandlers,
-		Handler:                http.HandlerFunc(s.serve),
+		MessageHandlerPoolSize: maxHandlers, BodyAllocator: netio.NewBodyAllocator(),
+		Handler: http.HandlerFunc(s.serve),
 		// Called when the request has been read, before its handler is scheduled.
 		OnRequest: func(w http.ResponseWriter, _ *http.Request) { s.conns.recordRequestRead(connOf(w)) },
 	})
--- a/share/httpd/memory_test.go
+++ b/share/httpd/memory_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -124,3 +125,26 @@
 	_ = c.Close()
 	waitReleased(t, s)
 }
+
+// A body comes in chunks of one byte. With a buffer for each of them it would take many times
+// the size that counts for memory.
+func TestBodyOfSmallChunksTakesItsSize(t *testing.T) {
+	const size = 400_000
+	s := startLimited(t, 0)
+	before := heapAlloc()
+	c := dialRaw(t, s, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nj\r\n", size))
+	time.Sleep(200 * time.Millisecond)
+	grown := heapAlloc() - before
+	assert.Assert(t, grown < 4*size, "%d bytes", grown)
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, readStatus(t, c), http.StatusOK)
+}
+
+// heapAlloc returns the size of the reachable heap, in bytes.
+func heapAlloc() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
