proxy: let callers pause in an answer for the longest timeout

Under a timeout above 10 s and above the idle timeout, a caller that may wait that long for an answer still lost the rest of it after a shorter pause.

Change: the limit on pauses is the longest timeout of a route if that is longer than the others.

--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -14,9 +14,11 @@
 	MaxHeaderBytes, MaxBodyBytes int
 	// StallTimeout is how long a caller may send nothing within a request.
 	StallTimeout time.Duration
-	// IdleTimeout is how long a connection may stay open between requests, and for how long
-	// a caller may take nothing of its answer, if that is longer than minReadPause.
+	// IdleTimeout is how long a connection may stay open between requests.
 	IdleTimeout time.Duration
+	// ReadPause is for how long a caller may take nothing of its answer, if that is longer
+	// than IdleTimeout and minReadPause.
+	ReadPause time.Duration
 }
 
 // Defaults of Limits.
@@ -44,6 +46,7 @@
 		l.IdleTimeout = defaultIdleTimeout
 	}
 	l.StallTimeout, l.IdleTimeout = min(l.StallTimeout, maxTimeout), min(l.IdleTimeout, maxTimeout)
+	l.ReadPause = max(l.ReadPause, l.IdleTimeout, minReadPause)
 	return l
 }
 
@@ -120,7 +123,7 @@
 	case o.requests > 0:
 		return keepOpen
 	case o.hasUnsent():
-		if pause > max(l.IdleTimeout, minReadPause) {
+		if pause > l.ReadPause {
 			return closeConn
 		}
 	case !o.rejectedAt.IsZero():
--- a/share/httpd/slow_test.go
+++ b/share/httpd/slow_test.go
@@ -162,9 +162,14 @@
 	assert.Equal(t, at(minReadPause+time.Second), keepOpen)
 	assert.Equal(t, at(2*minReadPause), keepOpen)
 	assert.Equal(t, at(2*minReadPause+2*time.Second), closeConn)
-	l.IdleTimeout = time.Minute
-	assert.Equal(t, at(time.Minute), keepOpen)
-	assert.Equal(t, at(2*time.Minute), closeConn)
+	for _, l = range []Limits{{IdleTimeout: time.Minute}, {IdleTimeout: time.Second, ReadPause: time.Minute}} {
+		l = l.withDefaults()
+		o.caller.sent.Add(1)
+		start = start.Add(time.Hour)
+		assert.Equal(t, at(0), keepOpen)
+		assert.Equal(t, at(59*time.Second), keepOpen)
+		assert.Equal(t, at(61*time.Second), closeConn)
+	}
 }
 
 // Operators set timeouts without a practical limit. A multiple of them overflowed, and requests
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -132,6 +132,8 @@
 		s.server.SetLimits(httpd.Limits{
 			MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
 			StallTimeout: limits.HeaderTimeout.Duration(), IdleTimeout: limits.IdleTimeout.Duration(),
+			// A caller that may wait that long for an answer may also pause that long in it.
+			ReadPause: topology.Table.LongestTimeout().Duration(),
 		})
 	}
 	s.post(topology)
--- a/share/route/route.go
+++ b/share/route/route.go
@@ -121,3 +121,12 @@
 	}
 	return best, best != nil
 }
+
+// LongestTimeout returns the longest timeout of a route, or 0 if there are no routes.
+func (t *Table) LongestTimeout() clock.Milli {
+	longest := clock.Milli(0)
+	for i := range t.Routes {
+		longest = max(longest, t.Routes[i].Timeout)
+	}
+	return longest
+}
--- a/share/route/route_test.go
+++ b/share/route/route_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"dandelionstile/share/clock"
 )
 
 func validRoute() Route {
@@ -56,3 +58,11 @@
 	}
 	assert.NilError(t, (&Table{Routes: []Route{good}}).Check())
 }
+
+// The longest timeout bounds what callers may take for an answer, whichever route it is of.
+func TestLongestTimeout(t *testing.T) {
+	var table Table
+	assert.Equal(t, table.LongestTimeout(), clock.Milli(0))
+	table.Routes = []Route{{Timeout: 8000}, {Timeout: 15000}, {Timeout: 4000}}
+	assert.Equal(t, table.LongestTimeout(), clock.Milli(15000))
+}
