--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -52,7 +52,7 @@
 	Memory quota.Bytes
 
 	engine *nbhttp.Engine
-	conns  sync.Map // the intakes of open connections, by *nbio.Conn
+	conns  sync.Map // the limiters of open connections, by *nbio.Conn
 	loops  evloop.Loops
 	done   chan struct{}
 	// sending is held while a call uses the library's engine, which must not stop then.
@@ -80,11 +80,11 @@
 	return nil
 }
 
-// onData passes what a connection has received to the library, within the limits of its
-// intake. An event loop's own connection has none.
+// onData passes what a connection has received to the library, within its limits. An event
+// loop's own connection has none.
 func (e *Engine) onData(c *nbio.Conn, data []byte) {
-	if in, ok := e.conns.Load(c); ok {
-		if err := in.(*intake).receive(data); err != nil {
+	if limiter, ok := e.conns.Load(c); ok {
+		if err := limiter.(*replyLimiter).receive(data); err != nil {
 			_ = c.CloseWithError(err) // ends the call
 			return
 		}
@@ -126,12 +126,12 @@
 	// opened; it may be nil. It must not call the Conn.
 	OnClose func()
 
-	mu     sync.Mutex
-	client *nbhttp.ClientConn
-	dialed net.Conn // open, and not yet taken by client
-	intake intake
-	opened bool // client has taken the connection, so a request may have been sent
-	closed bool
+	mu      sync.Mutex
+	client  *nbhttp.ClientConn
+	dialed  net.Conn // open, and not yet taken by client
+	limiter replyLimiter
+	opened  bool // client has taken the connection, so a request may have been sent
+	closed  bool
 }
 
 // Do sends a request and calls done once, from another goroutine, or at once with
@@ -189,11 +189,11 @@
 		return false
 	}
 	var once sync.Once
-	c.intake.begin()
+	c.limiter.begin()
 	client.Do(r, func(res *http.Response, _ net.Conn, err error) {
 		once.Do(func() {
 			reply, err := c.readReply(res, err)
-			c.intake.end()
+			c.limiter.end()
 			done(reply, err)
 		})
 	})
@@ -214,8 +214,8 @@
 	}
 	if c.client == nil {
 		c.dialed = conn
-		c.intake.memory = &c.Engine.Memory
-		c.Engine.conns.Store(conn, &c.intake)
+		c.limiter.memory = &c.Engine.Memory
+		c.Engine.conns.Store(conn, &c.limiter)
 		c.client = &nbhttp.ClientConn{Engine: c.Engine.engine, Dial: c.takeDialed}
 		c.client.OnClose(func() {
 			c.Engine.conns.Delete(conn)
--- a/share/fetch/intake.go
+++ b/share/fetch/limiter.go
@@ -1,7 +1,6 @@
 package fetch
 
 import (
-	"bytes"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -27,13 +26,11 @@
 	maxHeadBytes = 64 << 10
 	// maxWireBytes bounds a body with its chunked encoding, which may add a quarter to it.
 	maxWireBytes = MaxReplyBytes + MaxReplyBytes/4
-	// headerCost is the memory that a header takes besides its text, in bytes.
-	headerCost = 128
 )
 
-// intake bounds what a connection receives, before the library parses it. The library
+// replyLimiter bounds what a connection receives, before the library parses it. The library
 // itself keeps a head without end in memory, and takes replies that nobody waits for.
-type intake struct {
+type replyLimiter struct {
 	memory *quota.Bytes
 
 	mu sync.Mutex
@@ -51,56 +48,56 @@
 const headEnd = "\r\n\r\n"
 
 // begin records that a call waits for its reply.
-func (i *intake) begin() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.calls++
-	i.head, i.matched, i.body = 0, 0, 0
+func (l *replyLimiter) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	l.head, l.matched, l.body = 0, 0, 0
 }
 
 // end records that a call has its reply, or has failed, and gives its memory back.
-func (i *intake) end() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.calls--
-	i.memory.Release(i.held)
-	i.held = 0
+func (l *replyLimiter) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls--
+	l.memory.Release(l.held)
+	l.held = 0
 }
 
 // receive records bytes that have arrived. After an error the connection must be closed and
 // the bytes not be parsed.
-func (i *intake) receive(data []byte) error {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.calls == 0 {
+func (l *replyLimiter) receive(data []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.calls == 0 {
 		return errUnsolicited
 	}
-	head := i.scanHead(data)
-	i.head += head
-	i.body += len(data) - head
-	if i.head > maxHeadBytes || i.body > maxWireBytes {
+	head := l.scanHead(data)
+	l.head += head
+	l.body += len(data) - head
+	if l.head > maxHeadBytes || l.body > maxWireBytes {
 		return ErrTooLarge
 	}
-	cost := int64(len(data) + headerCost*bytes.Count(data[:head], []byte{'\n'}))
-	if !i.memory.Grow(i.held, cost) {
+	cost := quota.HeadCost(data[:head]) + int64(len(data)-head)
+	if !l.memory.Grow(l.held, cost) {
 		return ErrNoMemory
 	}
-	i.held += cost
+	l.held += cost
 	return nil
 }
 
 // scanHead returns how many bytes of data belong to the head.
-func (i *intake) scanHead(data []byte) int {
+func (l *replyLimiter) scanHead(data []byte) int {
 	for n, b := range data {
 		switch {
-		case i.matched == len(headEnd):
+		case l.matched == len(headEnd):
 			return n
-		case b == headEnd[i.matched]:
-			i.matched++
+		case b == headEnd[l.matched]:
+			l.matched++
 		case b == headEnd[0]:
-			i.matched = 1
+			l.matched = 1
 		default:
-			i.matched = 0
+			l.matched = 0
 		}
 	}
 	return len(data)
--- a/share/httpc/conn.go
+++ b/share/httpc/conn.go
@@ -155,7 +155,7 @@
 func (c *conn) readLoop() {
 	defer close(c.ended)
 	defer c.close()
-	in := &source{from: c.net, memory: c.memory}
+	in := &replyReader{from: c.net, memory: c.memory}
 	defer func() { in.release(nil) }()
 	br := bufio.NewReaderSize(in, readBufferBytes)
 	for {
@@ -181,7 +181,7 @@
 
 // readReply reads the reply to a call. It skips late replies to earlier requests, since
 // the connection is otherwise intact, but fails after maxForeignReplies of them.
-func (c *conn) readReply(in *source, br *bufio.Reader, j *job) result {
+func (c *conn) readReply(in *replyReader, br *bufio.Reader, j *job) result {
 	for range maxForeignReplies {
 		r := c.readOne(in, br, j)
 		if !errors.Is(r.err, ErrWrongRequestID) {
@@ -192,9 +192,9 @@
 }
 
 // readOne reads the next reply, apart from interim ones (1xx), and checks that it is
-// complete, within the limits of its source, belongs to the call and, if successful, has a
+// complete, within the limits of its reader, belongs to the call and, if successful, has a
 // stamp if the call needs one. A reply without a request ID counts as belonging to the call.
-func (c *conn) readOne(in *source, br *bufio.Reader, j *job) result {
+func (c *conn) readOne(in *replyReader, br *bufio.Reader, j *job) result {
 	request := j.request
 	res, err := http.ReadResponse(br, request)
 	for err == nil && res.StatusCode >= 100 && res.StatusCode < 200 {
--- a/share/httpc/source.go
+++ b/share/httpc/reader.go
@@ -1,7 +1,6 @@
 package httpc
 
 import (
-	"bytes"
 	"io"
 	"runtime"
 
@@ -29,8 +28,6 @@
 	// maxHeadBytes bounds the heads that one call reads, those of interim replies and of
 	// replies to other requests included. A merged answer of 210 shards has 15 KB.
 	maxHeadBytes = 64 << 10
-	// headerCost is the memory that a header takes besides its text, in bytes.
-	headerCost = 128
 	// minBodyBuffer and maxFirstBuffer bound the first buffer for a body, in bytes. A leaf
 	// that only announces a large body takes no memory for it.
 	minBodyBuffer  = 512
@@ -40,9 +37,9 @@
 	largeReplyBytes = 64 << 10
 )
 
-// source is the receiving side of a connection. It bounds what a call reads, and counts the
+// replyReader is the receiving side of a connection. It bounds what a call reads, and counts the
 // memory of its reply.
-type source struct {
+type replyReader struct {
 	from   io.Reader
 	memory *quota.Bytes
 
@@ -56,29 +53,29 @@
 
 // Read reads from the connection. While a head is read, it fails with ErrHeadTooLarge at
 // the limit: net/http keeps a line or headers without end in memory.
-func (s *source) Read(p []byte) (int, error) {
-	if s.inBody {
-		return s.from.Read(p)
+func (r *replyReader) Read(p []byte) (int, error) {
+	if r.inBody {
+		return r.from.Read(p)
 	}
-	if s.headBytes >= maxHeadBytes {
+	if r.headBytes >= maxHeadBytes {
 		return 0, ErrHeadTooLarge
 	}
-	n, err := s.from.Read(p[:min(len(p), maxHeadBytes-s.headBytes)])
-	s.headBytes += n
-	if !s.hold(int64(n + headerCost*bytes.Count(p[:n], []byte{'\n'}))) {
+	n, err := r.from.Read(p[:min(len(p), maxHeadBytes-r.headBytes)])
+	r.headBytes += n
+	if !r.hold(quota.HeadCost(p[:n])) {
 		return 0, ErrNoMemory
 	}
 	return n, err
 }
 
 // readBody reads a body of at most maxReplyBytes. length is its announced length, or -1.
-func (s *source) readBody(body io.Reader, length int64) ([]byte, error) {
-	s.inBody = true
-	defer func() { s.inBody = false }()
+func (r *replyReader) readBody(body io.Reader, length int64) ([]byte, error) {
+	r.inBody = true
+	defer func() { r.inBody = false }()
 	var read []byte
 	size := max(minBodyBuffer, min(length+1, maxFirstBuffer)) // one more byte finds the end
 	for {
-		if !s.hold(size - int64(cap(read))) {
+		if !r.hold(size - int64(cap(read))) {
 			return nil, ErrNoMemory
 		}
 		grown := make([]byte, len(read), size)
@@ -101,21 +98,21 @@
 }
 
 // hold counts more memory for the reply and reports whether there is enough.
-func (s *source) hold(n int64) bool {
-	if !s.memory.Grow(s.held, n) {
+func (r *replyReader) hold(n int64) bool {
+	if !r.memory.Grow(r.held, n) {
 		return false
 	}
-	s.held += n
+	r.held += n
 	return true
 }
 
 // release ends the reply, which is nil if there is none. A large reply counts until it is
 // collected as garbage: it may wait for the replies of other leaves and for its caller.
-func (s *source) release(reply *call.Reply) {
-	if reply != nil && s.held > largeReplyBytes {
-		runtime.AddCleanup(reply, s.memory.Release, s.held)
+func (r *replyReader) release(reply *call.Reply) {
+	if reply != nil && r.held > largeReplyBytes {
+		runtime.AddCleanup(reply, r.memory.Release, r.held)
 	} else {
-		s.memory.Release(s.held)
+		r.memory.Release(r.held)
 	}
-	s.held, s.headBytes = 0, 0
+	r.held, r.headBytes = 0, 0
 }
--- a/share/httpd/memory.go
+++ b/share/httpd/memory.go
@@ -1,21 +1,17 @@
 package httpd
 
-import "bytes"
+import "dandelionstile/share/quota"
 
-const (
-	// requestCost is the memory that a request takes besides its bytes. Requests may arrive
-	// on one connection faster than they are handled.
-	requestCost = 2 << 10
-	// headerCost is the memory that a header takes besides its text, in bytes.
-	headerCost = 128
-)
+// requestCost is the memory that a request takes besides its bytes. Requests may arrive on
+// one connection faster than they are handled.
+const requestCost = 2 << 10
 
 // holdRequest counts bytes of a request for memory, and reports whether there is enough.
-// Within a head, each line is a header. The caller holds mu.
+// The caller holds mu.
 func (c *conns) holdRequest(o *openConn, data []byte, isHead bool) bool {
 	cost := int64(len(data))
 	if isHead {
-		cost += int64(headerCost * bytes.Count(data, []byte{'\n'}))
+		cost = quota.HeadCost(data)
 	}
 	if !c.memory.Grow(o.heldRequests, cost) {
 		return false
--- a/share/quota/quota.go
+++ b/share/quota/quota.go
@@ -2,7 +2,10 @@
 // per message is not enough: many messages below it can still exceed the memory of the host.
 package quota
 
-import "sync/atomic"
+import (
+	"bytes"
+	"sync/atomic"
+)
 
 const (
 	// DefaultLimit is the limit of a Bytes without one.
@@ -11,9 +14,11 @@
 	// counted takes up to four times as much: buffers are copied as they grow, and the
 	// garbage collector lets the heap double.
 	hostShare = 8
-	// minHostLimit is the least limit of a known memory. It leaves room for one message of
-	// the largest size.
-	minHostLimit = 8 << 20
+	// minHostLimit is the least limit of a known memory. A single user may hold half of it,
+	// as much as the largest message has.
+	minHostLimit = 16 << 20
+	// headerCost is the memory that a header takes besides its text, in bytes.
+	headerCost = 128
 )
 
 // Bytes counts the bytes that its users hold. It is safe for concurrent use. A nil Bytes has
@@ -35,6 +40,11 @@
 	return max(minHostLimit, memory/hostShare)
 }
 
+// HeadCost returns the memory that a part of a message head takes.
+func HeadCost(head []byte) int64 {
+	return int64(len(head) + headerCost*bytes.Count(head, []byte{'\n'}))
+}
+
 // Grow adds n bytes to the holding of a user that has held bytes, and reports whether that
 // is allowed. A user may hold no more than what is left for all others. So a few large
 // messages, such as those of a faulty leaf, cannot keep small ones from being read.
