--- a/share/httpd/caller.go
+++ b/share/httpd/caller.go
@@ -13,9 +13,9 @@
 // its connection is closed.
 const minReadPause = 10 * time.Second
 
-// callerConn is a connection as the library's HTTP side sees it. It tells what the library
-// does not: how much of an answer the caller has not taken yet, and how large the head of
-// an incomplete request is.
+// callerConn is the connection that the library writes answers to. It counts what the library
+// does not tell: how much of an answer the caller has not taken yet, and the size of the head
+// of an incomplete request.
 type callerConn struct {
 	*nbio.Conn
 	// unsent is the number of bytes of answers that the library keeps in memory until the
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -119,6 +119,7 @@
 	})
 	s.engine.OnRead(s.onReadable)
 	s.engine.OnOpen(s.conns.add)
+	// Called once the connection has a parser, and before its first event.
 	s.engine.Engine.OnOpen(s.opened)
 	s.engine.OnWrittenSize(recordSent)
 	s.engine.OnClose(func(c net.Conn, _ error) { s.conns.remove(c) })
