--- a/share/junk/junk.go
+++ b/share/junk/junk.go
@@ -29,8 +29,8 @@
 	_, _ = c.Read(make([]byte, 1))
 }
 
-// Replies returns replies without end by name. headers are sent with those that have a
-// complete head, and must end with a line end.
+// Replies is keyed by the part that does not end. The headers, each with its CRLF, go into
+// every head that is complete.
 func Replies(headers string) map[string]Reply {
 	const ok, chunked = "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n"
 	return map[string]Reply{
--- a/share/mirror/peer.go
+++ b/share/mirror/peer.go
@@ -87,14 +87,13 @@
 	return size
 }
 
-// countFields returns the number of fields of an encoded message, without those that
-// follow a malformed one.
+// countFields stops at a malformed field, which Unmarshal reports.
 func countFields(body []byte) int {
 	fields := 0
 	for len(body) > 0 {
 		_, _, n := protowire.ConsumeField(body)
 		if n < 0 {
-			break // Unmarshal reports it
+			break
 		}
 		body = body[n:]
 		fields++
