mirror: report at once that a copy has become too old

A host that reads another host's copy of the store waits there for changes for 0.6 s at a time. When that host was cut off from the store, the reader learned that the copy was too old (1.5 s) only at the end of such a wait, and waited another 0.6 s at the next host if that had failed as well. All these waits delay the removal of a leaf, for which operators allow 3 s.

The reader now names the age from which on a copy is of no use to it. The other host replies as soon as its copy reaches that age. A reader whose own data is too old already waits 0.25 s at the next host, which replies as soon as it is fresh again itself: without that, all hosts of a region would read the store whenever their reader fails. Hosts of former versions ignore the new header.

--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -54,6 +54,9 @@
 	lostAfter clock.Milli = 1500
 	// immediateWait requests the store's current state without waiting for a change.
 	immediateWait clock.Milli = 1
+	// refreshWait is how long a host whose own data is stale lets another host look
+	// for fresh data before it tries the next source.
+	refreshWait clock.Milli = 250
 	// ageSlack is how much older than PollTimeout, the wait of the other host's own
 	// read, a page may be before it counts as stale.
 	ageSlack clock.Milli = 500
@@ -181,7 +184,7 @@
 	f.selectSource()
 	page, err := f.read()
 	now := f.Clock.Now()
-	if err == nil && page.Age > f.PollTimeout+ageSlack {
+	if err == nil && page.Age > f.maxAge() {
 		f.applyStale(now, page)
 		err = errors.Wrapf(errStale, "%d ms", page.Age)
 	}
@@ -198,6 +201,9 @@
 	return nil
 }
 
+// maxAge is the age from which on a page is stale.
+func (f *Follower) maxAge() clock.Milli { return f.PollTimeout + ageSlack }
+
 // read makes one read. If the sink has pending entries, it gets ticks meanwhile, since
 // the entries are due by the clock. When they waited for the end of the read, a source
 // that had just stopped replying delayed the removal of an entry by a second.
@@ -230,10 +236,16 @@
 // readWait returns how long the next read waits for a change. A read of the store does
 // not wait while the data is old, since other hosts wait for the answer.
 func (f *Follower) readWait() clock.Milli {
-	if f.source == storeSource && f.Clock.Now()-f.freshAt > f.PollTimeout {
+	age := f.Clock.Now() - f.freshAt
+	switch {
+	case f.source == storeSource && age > f.PollTimeout:
 		return immediateWait
+	case f.source == storeSource:
+		return f.PollTimeout
+	case age > f.maxAge():
+		return refreshWait
 	}
-	return f.PollTimeout
+	return min(f.PollTimeout, maxPeerWait)
 }
 
 // applyStale applies new data from a host that has not recently reached the store, and
@@ -268,7 +280,7 @@
 	f.source = best
 	f.current = f.Store
 	if best != storeSource {
-		f.current = &peerSource{client: fetch.Client{Engine: f.Engine, Address: best}}
+		f.current = &peerSource{client: fetch.Client{Engine: f.Engine, Address: best}, maxAge: f.maxAge()}
 	}
 }
 
--- a/share/mirror/mirror.go
+++ b/share/mirror/mirror.go
@@ -30,6 +30,9 @@
 	Age clock.Milli
 }
 
+// hasChanges reports whether the page tells its reader anything but its age.
+func (p *Page) hasChanges() bool { return p.Whole || len(p.Items) > 0 }
+
 // maxHistory is how many changes are kept for other hosts; a host that is further
 // behind gets a full page.
 const maxHistory = 4000
@@ -43,7 +46,7 @@
 	historyStart int64 // changes after this revision are in history
 	revision     int64
 	asOf         clock.Milli   // when the store was last reached
-	changed      chan struct{} // closed at the next change; nil if nobody waits
+	updated      chan struct{} // closed by the next page; nil if nobody waits
 
 	cacheMu sync.Mutex
 	cached  cachedPage
@@ -61,6 +64,7 @@
 func (m *Mirror) Apply(now clock.Milli, p Page) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.notify()
 	m.asOf = max(m.asOf, now-p.Age)
 	if p.Whole {
 		m.replace(p)
@@ -79,7 +83,6 @@
 		m.history = append([]change(nil), m.history[excess:]...)
 	}
 	m.revision = max(m.revision, p.Revision)
-	m.notify()
 }
 
 // replace replaces all items by those of a full page.
@@ -90,7 +93,6 @@
 	}
 	m.history = nil
 	m.historyStart, m.revision = p.Revision, p.Revision
-	m.notify()
 }
 
 func (m *Mirror) set(i Item) {
@@ -104,25 +106,25 @@
 	m.items[i.Key] = i.Value
 }
 
-// notify closes the channel on which readers wait for a change.
+// notify closes the channel on which readers wait for a page.
 func (m *Mirror) notify() {
-	if m.changed != nil {
-		close(m.changed)
-		m.changed = nil
+	if m.updated != nil {
+		close(m.updated)
+		m.updated = nil
 	}
 }
 
 // Since returns the changes after a revision, or a full page if the history no longer
-// has them all, and a channel that is closed at the next change. It reports false before
-// the first page.
+// has them all, and a channel that is closed when the next page is applied. It reports false
+// before the first page.
 func (m *Mirror) Since(now clock.Milli, after int64) (Page, <-chan struct{}, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.changed == nil {
-		m.changed = make(chan struct{})
+	if m.updated == nil {
+		m.updated = make(chan struct{})
 	}
 	if m.revision == 0 {
-		return Page{}, m.changed, false
+		return Page{}, m.updated, false
 	}
 	p := Page{Revision: m.revision, Age: now - m.asOf}
 	if after < m.historyStart {
@@ -130,12 +132,12 @@
 		for key, value := range m.items {
 			p.Items = append(p.Items, Item{Key: key, Value: value})
 		}
-		return p, m.changed, true
+		return p, m.updated, true
 	}
 	for _, c := range m.history {
 		if c.revision > after {
 			p.Items = append(p.Items, c.item)
 		}
 	}
-	return p, m.changed, true
+	return p, m.updated, true
 }
--- a/share/mirror/peer.go
+++ b/share/mirror/peer.go
@@ -23,6 +23,8 @@
 	// headerAge is the time since the host, or the one it reads from, last reached
 	// the store. It is not part of the body, which is the same for all readers.
 	headerAge = "Facts-Age-Ms"
+	// headerMaxAge is the age from which on the page is too old for the reader.
+	headerMaxAge = "Facts-Max-Age-Ms"
 )
 
 // peerTimeout bounds a read from another host, in addition to the requested wait.
@@ -34,20 +36,24 @@
 const maxPeerWait clock.Milli = 600
 
 // peerSource reads the mirror of another host.
-type peerSource struct{ client fetch.Client }
+type peerSource struct {
+	client fetch.Client
+	// maxAge is the age from which on a page is too old.
+	maxAge clock.Milli
+}
 
 // Disconnect closes the connection.
 func (s *peerSource) Disconnect() { s.client.Disconnect() }
 
-// Read requests the changes after a revision. It waits for at most maxPeerWait.
+// Read requests the changes after a revision. The host waits for at most maxPeerWait.
 func (s *peerSource) Read(after int64, wait clock.Milli) (Page, error) {
-	wait = min(wait, maxPeerWait)
 	r, err := fetch.Request(http.MethodGet, s.client.Address, "/", nil)
 	if err != nil {
 		return Page{}, err
 	}
 	r.Header[headerAfter] = []string{strconv.FormatInt(after, 10)}
-	r.Header[headerWait] = []string{strconv.FormatInt(int64(wait), 10)}
+	setMillis(r.Header, headerWait, wait)
+	setMillis(r.Header, headerMaxAge, s.maxAge)
 	reply, err := s.client.Do(r, (wait + peerTimeout).Duration())
 	if err != nil {
 		return Page{}, err
@@ -55,13 +61,27 @@
 	if reply.Status != http.StatusOK {
 		return Page{}, errors.Newf("peer replied with status %d", reply.Status)
 	}
-	age, err := strconv.ParseInt(reply.Header.Get(headerAge), 10, 64)
+	age, err := parseMillis(reply.Header, headerAge)
 	if err != nil {
 		return Page{}, errors.Wrap(err, headerAge)
 	}
 	p, err := decode(reply.Body)
-	p.Age = clock.Milli(age)
-	return p, err
+	if err != nil {
+		return Page{}, err
+	}
+	p.Age = age
+	return p, nil
+}
+
+// setMillis sets a header to a duration.
+func setMillis(h http.Header, name string, d clock.Milli) {
+	h[name] = []string{strconv.FormatInt(int64(d), 10)}
+}
+
+// parseMillis parses a header that holds a duration.
+func parseMillis(h http.Header, name string) (clock.Milli, error) {
+	ms, err := strconv.ParseInt(h.Get(name), 10, 64)
+	return clock.Milli(ms), err
 }
 
 const (
--- a/share/mirror/serve.go
+++ b/share/mirror/serve.go
@@ -12,30 +12,28 @@
 func IsRead(r *http.Request) bool { return r.Header.Get(headerAfter) != "" }
 
 // Serve replies to another host's read: immediately if there are changes, otherwise at
-// the next change, when the requested wait or maxPeerWait is over, or when stop is closed.
-// It replies with 503 if there is no page by then.
+// the next change, when the copy becomes too old for the reader or fresh again, when the
+// requested wait or maxPeerWait is over, or when stop is closed. It replies with 503 if there
+// is no page by then.
 func (m *Mirror) Serve(c clock.Clock, stop <-chan struct{}, w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.Header.Get(headerAfter), 10, 64)
 	if err != nil {
 		http.Error(w, "no proper "+headerAfter, http.StatusBadRequest)
 		return
 	}
-	wait, err := strconv.ParseInt(r.Header.Get(headerWait), 10, 64)
+	wait, err := parseMillis(r.Header, headerWait)
 	if err != nil || wait < 0 {
 		http.Error(w, "no proper "+headerWait, http.StatusBadRequest)
 		return
 	}
-	page, changed, ok := m.Since(c.Now(), after)
-	if !ok || (!page.Whole && len(page.Items) == 0) {
-		timer := time.NewTimer(min(clock.Milli(wait), maxPeerWait).Duration())
-		defer timer.Stop()
-		select {
-		case <-changed:
-		case <-stop:
-		case <-timer.C:
+	maxAge := clock.MaxSpan
+	if r.Header.Get(headerMaxAge) != "" { // readers of former versions send none
+		if maxAge, err = parseMillis(r.Header, headerMaxAge); err != nil {
+			http.Error(w, "no proper "+headerMaxAge, http.StatusBadRequest)
+			return
 		}
-		page, _, ok = m.Since(c.Now(), after)
 	}
+	page, ok := m.await(c, stop, after, min(wait, maxPeerWait), maxAge)
 	if !ok {
 		http.Error(w, "nothing is known here", http.StatusServiceUnavailable)
 		return
@@ -45,12 +43,42 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header()[headerAge] = []string{strconv.FormatInt(int64(max(0, page.Age)), 10)}
+	setMillis(w.Header(), headerAge, max(0, page.Age))
 	w.Header().Set("Content-Type", "application/x-protobuf")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // the peer may have closed the connection
 }
 
+// await returns the changes after a revision. Without any, it waits for them until the wait is
+// over or stop is closed. It also returns as soon as the copy becomes too old, so that the
+// reader turns to another source, or, if it was too old at first, fresh again: this host may
+// just have begun to look for another source itself.
+func (m *Mirror) await(c clock.Clock, stop <-chan struct{}, after int64, wait, maxAge clock.Milli) (Page, bool) {
+	end := c.Now() + wait
+	page, updated, ok := m.Since(c.Now(), after)
+	fresh := func() bool { return ok && page.Age <= maxAge }
+	startedFresh := fresh()
+	for !page.hasChanges() && fresh() == startedFresh {
+		left := end - c.Now()
+		if left <= 0 {
+			break
+		}
+		if startedFresh {
+			left = min(left, maxAge-page.Age+1)
+		}
+		timer := time.NewTimer(left.Duration())
+		select {
+		case <-updated:
+		case <-timer.C:
+		case <-stop:
+			end = c.Now()
+		}
+		timer.Stop()
+		page, updated, ok = m.Since(c.Now(), after)
+	}
+	return page, ok
+}
+
 // encodeCached returns an encoded page. It caches the last one with items, since other
 // hosts request the same page at the same time.
 func (m *Mirror) encodeCached(after int64, p Page) ([]byte, error) {
