mirror: tell a failed reader from a lost store

Cause: a host that reads another host's copy of the store finds it too old when that host is cut off, and counted this as a loss of the store before it had tried the store itself. Its first read there succeeded at once, which ended the loss, and so began the grace of 2.3 s that entries get after an outage. The entry that the same read reported as removed was kept for it: 2.2 s of detection and 2.3 s of grace.

Change: the store counts as lost only if it has not answered this host, or this host stood still, and no data was fresh for 1.5 s. Whether a host stood still is taken from how long its own reads and pauses took, and no longer from the age of the data, which also grows while other hosts fail. Each page tells for how long its host has had a fresh copy; if that covers the time for which this host has had none, the loss ends without a grace (StoreSteady): the store was well, and refused this host or could not be reached from it. In an outage no host can tell that, so that entries that lapsed still get their 2.3 s. The line store-lost and the field store-doubted tell the two apart in the log.

Tests: TestRemovedLeafIsDroppedBesideAFailedReader plays the reader cut, refused, slow, frozen, killed and restarted, alone and with the next one cut or frozen: on 14 of its 18 cases fail, with the leaf still there after 3 s. TestRemovedLeafIsDroppedWhereTheStoreRejectsARegion fails there too. Both pass now. TestLeavesThatLapseInAnOutageAreKept (outages of 2.1 and 4.5 s, silent and rejecting) and the other tests of share/mirror, share/roster and platform pass before and after.

--- /dev/null
+++ b/share/mirror/drain_test.go
@@ -0,0 +1,455 @@
+package mirror
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"dandelionstile/share/clock"
+	"dandelionstile/share/fetch"
+	"dandelionstile/share/httpd"
+	"dandelionstile/share/roster"
+)
+
+// drainBound is the shortest time within which operators ask for a removed leaf to get no
+// requests, and drainPoll the poll timeout that hosts use with it.
+const (
+	drainBound             = 3 * time.Second
+	drainPoll  clock.Milli = 1000
+)
+
+const (
+	// lostReply is how much longer than its wait a read takes that gets no reply.
+	lostReply = 1200 * time.Millisecond
+	// slowAnswer is the delay of slow replies.
+	slowAnswer = 400 * time.Millisecond
+	// returnTime is how long after an outage leaves write their entries again.
+	returnTime = 2 * time.Second
+)
+
+const regionOne, regionTwo = "r", "q"
+
+// leafStore is a store with the entries of leaves.
+type leafStore struct {
+	mu      sync.Mutex
+	changes []Item // the revision of a change is its index plus 1
+	away    access
+}
+
+// access is how a store treats the reads of a host.
+type access int32
+
+const (
+	reachable access = iota
+	rejecting        // reads fail at once
+	silent           // reads get no reply
+	slow             // replies take slowAnswer
+)
+
+func (s *leafStore) change(i Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = append(s.changes, i)
+}
+
+func (s *leafStore) put(leaf string)    { s.change(Item{Key: leaf, Value: []byte("entry")}) }
+func (s *leafStore) remove(leaf string) { s.change(Item{Key: leaf, Deleted: true}) }
+
+func (s *leafStore) setAway(a access) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = a
+}
+
+// since returns the page after a revision, and false if there are no changes.
+func (s *leafStore) since(after int64) (Page, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Page{Whole: after == 0, Revision: int64(len(s.changes)), Items: append([]Item(nil), s.changes[after:]...)}
+	if p.Whole {
+		entries := map[string]Item{}
+		for _, i := range p.Items {
+			entries[i.Key] = i
+		}
+		p.Items = nil
+		for _, i := range entries {
+			if !i.Deleted {
+				p.Items = append(p.Items, i)
+			}
+		}
+	}
+	return p, p.hasChanges()
+}
+
+// leafReader is one host's access to a leafStore.
+type leafReader struct {
+	store *leafStore
+	mode  atomic.Int32
+	stop  chan struct{}
+}
+
+func (r *leafReader) Disconnect() {}
+
+func (r *leafReader) access() access {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	if r.store.away != reachable {
+		return r.store.away
+	}
+	return access(r.mode.Load())
+}
+
+// Read waits for changes. A reply that is due while the store is silent is lost.
+func (r *leafReader) Read(after int64, wait clock.Milli) (Page, error) {
+	end := time.Now().Add(wait.Duration())
+	for {
+		page, changed := r.store.since(after)
+		switch mode := r.access(); {
+		case mode == rejecting:
+			return Page{}, errors.New("rejected")
+		case mode == silent:
+			r.pause(time.Until(end) + lostReply)
+			return Page{}, errors.New("no reply")
+		case changed || time.Now().After(end):
+			if mode == slow {
+				r.pause(slowAnswer)
+			}
+			return page, nil
+		}
+		r.pause(5 * time.Millisecond)
+	}
+}
+
+func (r *leafReader) pause(d time.Duration) {
+	select {
+	case <-r.stop:
+	case <-time.After(d):
+	}
+}
+
+// leafSink is a sink that keeps the leaves of a directory.
+type leafSink struct {
+	mu        sync.Mutex
+	directory roster.Directory
+	gone      map[string]time.Time // when a leaf was last removed
+	losses    int
+}
+
+// update changes the directory and records the leaves that it removes.
+func (k *leafSink) update(now clock.Milli, change func(d *roster.Directory)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before := k.directory.Leaves()
+	change(&k.directory)
+	k.directory.Expire(now)
+	for _, l := range before {
+		if !k.knows(l.ID) {
+			if k.gone == nil {
+				k.gone = map[string]time.Time{}
+			}
+			k.gone[l.ID] = time.Now()
+		}
+	}
+}
+
+// knows reports whether the directory has a leaf. The caller holds mu.
+func (k *leafSink) knows(id string) bool {
+	for _, l := range k.directory.Leaves() {
+		if l.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *leafSink) Apply(now clock.Milli, p Page) {
+	k.update(now, func(d *roster.Directory) {
+		if p.Whole {
+			listed := map[string]bool{}
+			for _, i := range p.Items {
+				listed[i.Key] = true
+			}
+			d.Retain(now, func(id string) bool { return listed[id] })
+		}
+		for _, i := range p.Items {
+			if i.Deleted {
+				d.Remove(now, i.Key)
+			} else {
+				d.Put(roster.Leaf{ID: i.Key})
+			}
+		}
+	})
+}
+
+func (k *leafSink) StoreLost(now clock.Milli) {
+	k.update(now, func(d *roster.Directory) { d.StoreLost(); k.losses++ })
+}
+
+func (k *leafSink) StoreRecovered(now clock.Milli) {
+	k.update(now, func(d *roster.Directory) { d.StoreRecovered(now) })
+}
+
+func (k *leafSink) StoreSteady(now clock.Milli) {
+	k.update(now, func(d *roster.Directory) { d.StoreSteady() })
+}
+
+func (k *leafSink) Tick(now clock.Milli) { k.update(now, func(*roster.Directory) {}) }
+
+func (k *leafSink) Pending() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.directory.Pending()
+}
+
+// has reports whether the sink has a leaf.
+func (k *leafSink) has(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.knows(id)
+}
+
+// removedAt returns when a leaf was last removed; zero if it never was.
+func (k *leafSink) removedAt(id string) time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.gone[id]
+}
+
+// leafHost is a host that follows a leafStore.
+type leafHost struct {
+	follower Follower
+	reader   leafReader
+	sink     leafSink
+	server   httpd.Server
+	frozen   atomic.Bool // its server sends no replies
+	slow     atomic.Bool // its replies take slowAnswer
+	stop     chan struct{}
+	once     sync.Once
+}
+
+// impairedWriter delays or withholds the replies of a host.
+type impairedWriter struct {
+	http.ResponseWriter
+	host *leafHost
+}
+
+// Write sends the body of a reply.
+func (w *impairedWriter) Write(body []byte) (int, error) {
+	if w.host.frozen.Load() {
+		<-w.host.stop
+	}
+	if w.host.slow.Load() {
+		time.Sleep(slowAnswer)
+	}
+	return w.ResponseWriter.Write(body)
+}
+
+// leafFleet is a leafStore with the hosts that follow it.
+type leafFleet struct {
+	t      *testing.T
+	store  leafStore
+	engine fetch.Engine
+	hosts  []*leafHost
+}
+
+// startFleet starts hosts in the given regions and waits until they have two leaves.
+func startFleet(t *testing.T, regions ...string) *leafFleet {
+	t.Helper()
+	f := &leafFleet{t: t}
+	assert.NilError(t, f.engine.Start())
+	t.Cleanup(func() { assert.NilError(t, f.engine.Close()) })
+	f.store.put("a")
+	f.store.put("b")
+	for _, region := range regions {
+		h := f.serve("127.0.0.1:0")
+		h.follower.Self = Peer{Address: h.server.Addr(), Region: region}
+		f.hosts = append(f.hosts, h)
+	}
+	for _, h := range f.hosts {
+		f.follow(h)
+	}
+	f.settle()
+	return f
+}
+
+// serve starts the server of a host.
+func (f *leafFleet) serve(address string) *leafHost {
+	h := &leafHost{stop: make(chan struct{})}
+	h.server = httpd.Server{Address: address, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.follower.Mirror().Serve(clock.Wall{}, h.stop, &impairedWriter{w, h}, r)
+	})}
+	assert.NilError(f.t, h.server.Start())
+	return h
+}
+
+// follow starts the follower of a host that knows all others.
+func (f *leafFleet) follow(h *leafHost) {
+	h.reader.store, h.reader.stop = &f.store, h.stop
+	h.follower.Store, h.follower.PollTimeout = &h.reader, drainPoll
+	h.follower.Engine, h.follower.Clock, h.follower.Log, h.follower.Sink = &f.engine, clock.Wall{}, zerolog.Nop(), &h.sink
+	var others []Peer
+	for _, other := range f.hosts {
+		if other.follower.Self != h.follower.Self {
+			others = append(others, other.follower.Self)
+		}
+	}
+	h.follower.SetPeers(others)
+	h.follower.Start()
+	f.t.Cleanup(func() { h.close(f.t) })
+}
+
+// settle waits until all hosts have the leaves and the ones that read the store do so for
+// the others.
+func (f *leafFleet) settle() {
+	f.t.Helper()
+	f.await("all leaves", func(h *leafHost) bool { return h.sink.has("a") && h.sink.has("b") })
+	time.Sleep(2 * drainPoll.Duration()) // the readers' polls reach their steady rhythm
+}
+
+// await waits until all hosts fulfil a condition, for drainBound at most.
+func (f *leafFleet) await(what string, fulfilled func(*leafHost) bool) {
+	f.t.Helper()
+	end := time.Now().Add(drainBound)
+	for _, h := range f.hosts {
+		for !fulfilled(h) {
+			if time.Now().After(end) {
+				f.t.Errorf("host %s has not reached this after %s: %s", h.follower.Self.Address, drainBound, what)
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// ranked returns the hosts of a region in the order in which they read the store: the
+// first one reads, and the second one if that fails.
+func (f *leafFleet) ranked(region string) []*leafHost {
+	c := &f.hosts[0].follower.chooser
+	var list []*leafHost
+	for _, p := range c.ranked(func(p Peer) bool { return p.Region == region }) {
+		for _, h := range f.hosts {
+			if h.follower.Self == p {
+				list = append(list, h)
+			}
+		}
+	}
+	return list
+}
+
+// take removes a host from those that conditions are checked for.
+func (f *leafFleet) take(h *leafHost) {
+	for i, other := range f.hosts {
+		if other == h {
+			f.hosts = append(f.hosts[:i:i], f.hosts[i+1:]...)
+			return
+		}
+	}
+}
+
+func (h *leafHost) close(t *testing.T) {
+	h.once.Do(func() {
+		close(h.stop)
+		assert.NilError(t, h.follower.Close())
+		assert.NilError(t, h.server.Close())
+	})
+}
+
+// Faults of a host that reads the store for others.
+var readerFaults = map[string]func(f *leafFleet, h *leafHost){
+	"cut":     func(_ *leafFleet, h *leafHost) { h.reader.mode.Store(int32(silent)) },
+	"refused": func(_ *leafFleet, h *leafHost) { h.reader.mode.Store(int32(rejecting)) },
+	"slow": func(_ *leafFleet, h *leafHost) {
+		h.reader.mode.Store(int32(slow))
+		h.slow.Store(true)
+	},
+	"frozen": freeze,
+	"killed": func(f *leafFleet, h *leafHost) { h.close(f.t) },
+	"restarted": func(f *leafFleet, h *leafHost) {
+		h.close(f.t)
+		again := f.serve(h.server.Addr())
+		again.follower.Self = h.follower.Self
+		f.follow(again)
+	},
+}
+
+func freeze(_ *leafFleet, h *leafHost) {
+	h.frozen.Store(true)
+	h.reader.mode.Store(int32(silent))
+}
+
+// The host that reads the store for others fails, alone or together with the one that
+// takes its place, and a leaf's entry is removed. The store is well, so the other hosts must
+// stop using the leaf within the operators' bound.
+func TestRemovedLeafIsDroppedBesideAFailedReader(t *testing.T) {
+	for name, fail := range readerFaults {
+		for nextName, failNext := range map[string]func(*leafFleet, *leafHost){"": nil, "next frozen": freeze, "next cut": readerFaults["cut"]} {
+			t.Run(name+" "+nextName, func(t *testing.T) {
+				t.Parallel()
+				f := startFleet(t, regionOne, regionOne, regionOne, regionOne, regionOne, regionOne)
+				order := f.ranked(regionOne)
+				fail(f, order[0])
+				f.take(order[0])
+				if failNext != nil {
+					failNext(f, order[1])
+					f.take(order[1])
+				}
+				time.Sleep(50 * time.Millisecond)
+				f.store.remove("a")
+				f.await("the removed leaf is gone", func(h *leafHost) bool { return !h.sink.has("a") })
+				for _, h := range f.hosts {
+					h.sink.mu.Lock()
+					assert.Check(t, h.sink.losses == 0, "the store was never lost")
+					h.sink.mu.Unlock()
+				}
+			})
+		}
+	}
+}
+
+// The store rejects the hosts of a region and does not answer the one that reads for them.
+// Another region's hosts have read the store all the while, so that a leaf's removal counts at
+// once.
+func TestRemovedLeafIsDroppedWhereTheStoreRejectsARegion(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, regionOne, regionOne, regionOne, regionTwo, regionTwo)
+	order := f.ranked(regionOne)
+	for _, h := range order {
+		readerFaults["refused"](f, h)
+	}
+	readerFaults["cut"](f, order[0])
+	f.take(order[0])
+	time.Sleep(50 * time.Millisecond)
+	f.store.remove("a")
+	f.await("the removed leaf is gone", func(h *leafHost) bool { return !h.sink.has("a") })
+}
+
+// The store is away, and loses entries of leaves that are back within 2 s of its return. No host
+// may drop such a leaf, and all must drop one that does not come back.
+func TestLeavesThatLapseInAnOutageAreKept(t *testing.T) {
+	for name, away := range map[string]access{"silent": silent, "rejecting": rejecting} {
+		for _, duration := range []time.Duration{2100 * time.Millisecond, 4500 * time.Millisecond} {
+			t.Run(name+" for "+duration.String(), func(t *testing.T) {
+				t.Parallel()
+				f := startFleet(t, regionOne, regionOne, regionOne, regionOne, regionOne, regionOne, regionTwo, regionTwo)
+				f.store.setAway(away)
+				f.store.remove("a")
+				f.store.remove("b")
+				time.Sleep(duration)
+				f.store.setAway(reachable)
+				time.Sleep(returnTime)
+				f.store.put("a")
+				f.await("the leaf that has lapsed for good is gone", func(h *leafHost) bool { return !h.sink.has("b") })
+				f.await("the leaf that is back is known", func(h *leafHost) bool { return h.sink.has("a") })
+				for _, h := range f.hosts {
+					assert.Check(t, h.sink.removedAt("a").IsZero(), "host %s has dropped a leaf that lapsed", h.follower.Self.Address)
+				}
+			})
+		}
+	}
+}
--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -32,10 +32,12 @@
 	// Apply receives each page that was read, except full pages that are older than the
 	// data that it already has, and stale pages without newer data.
 	Apply(now clock.Milli, p Page)
-	// StoreLost reports that no source has fresh data, possibly more than once, and
-	// StoreRecovered that one has again.
+	// StoreLost reports that the store cannot be reached, possibly more than once, and
+	// StoreRecovered that it can again. Entries may have lapsed meanwhile.
 	StoreLost(now clock.Milli)
 	StoreRecovered(now clock.Milli)
+	// StoreSteady withdraws StoreLost: another host has read the store all the while.
+	StoreSteady(now clock.Milli)
 	// Pending reports whether the sink needs calls of Tick during a read.
 	Pending() bool
 	Tick(now clock.Milli)
@@ -50,7 +52,8 @@
 	retryInterval clock.Milli = 100
 	// tickInterval is the interval between ticks of a pending sink.
 	tickInterval clock.Milli = 100
-	// lostAfter is the time without fresh data after which the sink is notified.
+	// lostAfter is the time without fresh data after which the store counts as lost, if
+	// it did not answer this host in that time, or this host stood still.
 	lostAfter clock.Milli = 1500
 	// immediateWait requests the store's current state without waiting for a change.
 	immediateWait clock.Milli = 1
@@ -60,6 +63,10 @@
 	// ageSlack is how much older than PollTimeout, the wait of the other host's own
 	// read, a page may be before it counts as stale.
 	ageSlack clock.Milli = 500
+	// slowReply is how much longer than its wait a read of the store may take, and how
+	// much longer than readInterval a pause between two reads. If it takes longer, the
+	// store did not answer, or this host stood still while the reply was waiting.
+	slowReply clock.Milli = 500
 )
 
 // Follower keeps a mirror up to date. Exported fields are set before Start.
@@ -86,10 +93,15 @@
 	current Source
 	// after is the revision up to which the data was read.
 	after int64
-	// freshAt is when the store was in the state that was last read, and lost is set
-	// while the sink counts the store as lost.
+	// freshAt is when the store was in the state that was last read.
 	freshAt clock.Milli
-	lost    bool
+	// doubted is set once the store has not answered a read of this host, or this host
+	// has stood still, since the data was last fresh.
+	doubted bool
+	// lost is set while the sink counts the store as lost.
+	lost bool
+	// steppedAt is when the last read ended.
+	steppedAt clock.Milli
 	// peersKnown is closed once other hosts are known.
 	peersKnown chan struct{}
 	stop       chan struct{}
@@ -106,7 +118,6 @@
 	f.signalPeersKnown()
 	f.mu.Unlock()
 	f.chooser.self = f.Self
-	f.freshAt = f.Clock.Now()
 	f.source = noSource
 	f.done.Go(f.run)
 }
@@ -164,6 +175,8 @@
 // run makes reads until Close.
 func (f *Follower) run() {
 	f.waitForPeers()
+	f.freshAt = f.Clock.Now()
+	f.steppedAt = f.freshAt
 	for {
 		interval := readInterval
 		if err := f.step(); err != nil {
@@ -182,18 +195,25 @@
 // the next read requests a full page.
 func (f *Follower) step() error {
 	f.selectSource()
-	page, err := f.read()
+	started, wait := f.Clock.Now(), f.readWait()
+	page, err := f.read(wait)
 	now := f.Clock.Now()
-	if err == nil && page.Age > f.maxAge() {
-		f.applyStale(now, page)
-		err = errors.Wrapf(errStale, "%d ms", page.Age)
-	}
+	slow := now-started > wait+f.replyLimit()
+	f.doubted = f.doubted || slow || started-f.steppedAt > readInterval+slowReply
+	f.steppedAt = now
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("source", f.sourceLabel()).Int64("revision", f.after).Msg("history-gone")
 		f.after = 0 // the next read requests a full page
 		return nil
 	}
 	if err != nil {
+		f.doubted = f.doubted || f.source == storeSource
+		f.handleFailure(now, err)
+		return err
+	}
+	if f.source != storeSource && page.Age > f.maxAge() {
+		f.applyStale(now, page)
+		err := errors.Wrapf(errStale, "%d ms", page.Age)
 		f.handleFailure(now, err)
 		return err
 	}
@@ -201,14 +221,21 @@
 	return nil
 }
 
+// replyLimit is how much longer than its wait a read may take without any doubt.
+func (f *Follower) replyLimit() clock.Milli {
+	if f.source == storeSource {
+		return slowReply
+	}
+	return peerTimeout + slowReply // a frozen host is no reason to doubt the store
+}
+
 // maxAge is the age from which on a page is stale.
 func (f *Follower) maxAge() clock.Milli { return f.PollTimeout + ageSlack }
 
 // read makes one read. If the sink has pending entries, it gets ticks meanwhile, since
 // the entries are due by the clock. When they waited for the end of the read, a source
 // that had just stopped replying delayed the removal of an entry by a second.
-func (f *Follower) read() (Page, error) {
-	wait := f.readWait()
+func (f *Follower) read(wait clock.Milli) (Page, error) {
 	if !f.Sink.Pending() {
 		return f.current.Read(f.after, wait)
 	}
@@ -293,33 +320,40 @@
 	return source
 }
 
-// handleFailure starts the backoff of the source, and reports the loss of the store to
-// the sink once no data has been fresh for lostAfter.
+// handleFailure starts the backoff of the source, and reports the loss of the store to the
+// sink once no data has been fresh for lostAfter, if the store has not answered. Stale data of
+// another host is no loss: that host may be cut off from the store, or stand still, while the
+// store is well and its removals count.
 func (f *Follower) handleFailure(now clock.Milli, err error) {
 	f.mu.Lock()
 	f.chooser.recordFailure(now, f.source)
 	f.mu.Unlock()
 	f.Log.Warn().Err(err).Str("source", f.sourceLabel()).Int64("revision", f.after).
-		Int64("age-ms", int64(now-f.freshAt)).Msg("source-failed")
-	if !f.lost && now-f.freshAt > lostAfter {
-		f.lost = true
-		f.Sink.StoreLost(now)
+		Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubted).Msg("source-failed")
+	if f.doubted && now-f.freshAt > lostAfter {
+		f.lose(now)
 	}
 }
 
-// handlePage ends the backoff of the source, applies its page unless it is a full one older
-// than this host's data, and reports a recovery to the sink if the store was lost.
+// lose reports the loss of the store to the sink, once.
+func (f *Follower) lose(now clock.Milli) {
+	if f.lost {
+		return
+	}
+	f.lost = true
+	f.mirror.setSteadySince(now)
+	f.Log.Warn().Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubted).Msg("store-lost")
+	f.Sink.StoreLost(now)
+}
+
+// handlePage ends the backoff of the source and applies its page unless it is a full one older
+// than this host's data. A fresh page ends a loss of the store.
 func (f *Follower) handlePage(now clock.Milli, page Page) {
 	f.mu.Lock()
 	f.chooser.recordSuccess(f.source)
 	f.mu.Unlock()
-	// A read may wait PollTimeout for a change, so a loss is assumed only when the data is
-	// older than that and lostAfter together.
-	if f.lost || now-f.freshAt > lostAfter+f.PollTimeout {
-		f.Log.Info().Str("source", f.sourceLabel()).Int64("away-ms", int64(now-f.freshAt)).Msg("store-regained")
-		f.Sink.StoreLost(now) // the loss may not have been reported: no read may have failed
-		f.Sink.StoreRecovered(now)
-		f.lost = false
+	if page.Age <= f.maxAge() {
+		f.endLoss(now, page)
 	}
 	f.freshAt = max(f.freshAt, now-page.Age)
 	if page.Whole {
@@ -332,3 +366,26 @@
 	f.mirror.Apply(now, page)
 	f.Sink.Apply(now, page)
 }
+
+// endLoss reports the end of a loss of the store to the sink when a fresh page was read. The
+// loss may not have been reported: a read that waited for the store may have ended with a
+// reply, and a host that stood still has made no read.
+func (f *Follower) endLoss(now clock.Milli, page Page) {
+	away := now - f.freshAt
+	if f.doubted && away > lostAfter {
+		f.lose(now)
+	}
+	f.doubted = false
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.Log.Info().Str("source", f.sourceLabel()).Int64("away-ms", int64(away)).Int64("steady-ms", int64(page.Steady)).Msg("store-regained")
+	if page.Steady >= away {
+		f.mirror.setSteadySince(now - page.Steady)
+		f.Sink.StoreSteady(now)
+		return
+	}
+	f.mirror.setSteadySince(now)
+	f.Sink.StoreRecovered(now)
+}
--- a/share/mirror/mirror.go
+++ b/share/mirror/mirror.go
@@ -28,6 +28,9 @@
 	Whole bool
 	// Age is the time since the store was last reached.
 	Age clock.Milli
+	// Steady is how long the host that serves the page has had a fresh copy, without a
+	// loss of the store; 0 for pages of the store itself.
+	Steady clock.Milli
 }
 
 // hasChanges reports whether the page tells its reader anything but its age.
@@ -46,6 +49,7 @@
 	historyStart int64 // changes after this revision are in history
 	revision     int64
 	asOf         clock.Milli   // when the store was last reached
+	steadySince  clock.Milli   // when the first page was read, or the store's last loss ended
 	updated      chan struct{} // closed by the next page; nil if nobody waits
 
 	cacheMu sync.Mutex
@@ -66,6 +70,9 @@
 	defer m.mu.Unlock()
 	defer m.notify()
 	m.asOf = max(m.asOf, now-p.Age)
+	if m.steadySince == 0 {
+		m.steadySince = now
+	}
 	if p.Whole {
 		m.replace(p)
 		return
@@ -85,6 +92,13 @@
 	m.revision = max(m.revision, p.Revision)
 }
 
+// setSteadySince sets the time since which the copy has been fresh.
+func (m *Mirror) setSteadySince(t clock.Milli) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.steadySince = t
+}
+
 // replace replaces all items by those of a full page.
 func (m *Mirror) replace(p Page) {
 	m.items = make(map[string][]byte, len(p.Items))
@@ -126,7 +140,7 @@
 	if m.revision == 0 {
 		return Page{}, m.updated, false
 	}
-	p := Page{Revision: m.revision, Age: now - m.asOf}
+	p := Page{Revision: m.revision, Age: now - m.asOf, Steady: now - m.steadySince}
 	if after < m.historyStart {
 		p.Whole = true
 		for key, value := range m.items {
--- a/share/mirror/mirror_test.go
+++ b/share/mirror/mirror_test.go
@@ -140,6 +140,7 @@
 	revision  int64
 	lost      int
 	recovered int
+	steady    int
 	pending   atomic.Bool
 	ticks     atomic.Int64
 }
@@ -162,6 +163,12 @@
 	k.recovered++
 }
 
+func (k *recordingSink) StoreSteady(clock.Milli) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.steady++
+}
+
 func (k *recordingSink) Pending() bool { return k.pending.Load() }
 
 func (k *recordingSink) Tick(clock.Milli) { k.ticks.Add(1) }
--- a/share/mirror/peer.go
+++ b/share/mirror/peer.go
@@ -25,6 +25,8 @@
 	headerAge = "Facts-Age-Ms"
 	// headerMaxAge is the age from which on the page is too old for the reader.
 	headerMaxAge = "Facts-Max-Age-Ms"
+	// headerSteady is how long the host has had a fresh copy, without a loss of the store.
+	headerSteady = "Facts-Steady-Ms"
 )
 
 // peerTimeout bounds a read from another host, in addition to the requested wait.
@@ -70,6 +72,11 @@
 		return Page{}, err
 	}
 	p.Age = age
+	if reply.Header.Get(headerSteady) != "" { // hosts of former versions send none
+		if p.Steady, err = parseMillis(reply.Header, headerSteady); err != nil {
+			return Page{}, errors.Wrap(err, headerSteady)
+		}
+	}
 	return p, nil
 }
 
--- a/share/roster/roster.go
+++ b/share/roster/roster.go
@@ -108,6 +108,15 @@
 	}
 }
 
+// StoreSteady records that the store has been reachable for others all the while: the
+// entries that have disappeared are removed, unless an earlier grace period goes on.
+func (d *Directory) StoreSteady() {
+	d.unreachable = false
+	for id := range d.removals {
+		d.removals[id] = d.graceUntil
+	}
+}
+
 // Expire removes entries whose grace period is over and returns their IDs in order. While
 // the store is unreachable, it removes none.
 func (d *Directory) Expire(now clock.Milli) []string {
--- a/share/roster/roster_test.go
+++ b/share/roster/roster_test.go
@@ -36,6 +36,25 @@
 	assert.DeepEqual(t, ids(&d), []string{"a"})
 }
 
+// A host could not reach the store, and learns that others could all the while. Entries that have
+// disappeared count at once, unless the grace period of an earlier outage goes on.
+func TestSteadyStoreGivesNoGrace(t *testing.T) {
+	var d Directory
+	d.Put(Leaf{ID: "a"})
+	d.Put(Leaf{ID: "b"})
+	d.StoreLost()
+	d.Remove(1000, "a")
+	d.StoreSteady()
+	assert.DeepEqual(t, d.Expire(1000), []string{"a"})
+	d.StoreLost()
+	d.StoreRecovered(2000)
+	d.StoreLost()
+	d.Remove(2500, "b")
+	d.StoreSteady()
+	assert.Equal(t, len(d.Expire(2000+RemovalGrace-1)), 0)
+	assert.DeepEqual(t, d.Expire(2000+RemovalGrace), []string{"b"})
+}
+
 // An entry disappears while the store is reachable: the leaf has ended, and a grace
 // period would send requests to it.
 func TestEntryThatDisappearsIsRemoved(t *testing.T) {
