mirror: do not take old data for fresh

Two replies told hosts that their data was fresh when it was not, so that they went on with removed leaves:

- a reply that lay unread while the host stood still counted as read now;
- a host whose monotonic clock had stood still with it reported its copy as fresh as before, although its reader knew later changes.

A reply that is overdue now counts as that much older, and a copy behind its reader's own data as no fresher than that. Full listings are exempt from the first: their many requests take their time.

TestDataIsNotTakenForFresherThanItIs guards both.

--- a/share/mirror/drain_test.go
+++ b/share/mirror/drain_test.go
@@ -453,3 +453,16 @@
 		}
 	}
 }
+
+// A host resumes after its clock stood still, and reports its copy as fresh although it lacks
+// changes that its reader knows; or the store's reply lay unread while the reader itself stood
+// still. The reader must not take its data for fresh by that.
+func TestDataIsNotTakenForFresherThanItIs(t *testing.T) {
+	const now = clock.Minute
+	f := Follower{PollTimeout: drainPoll, source: "10.0.0.2:80", after: 9, freshAt: now - 3000}
+	assert.Equal(t, f.ageOf(now, Page{Revision: 7, Age: 100}, 0), clock.Milli(3000))
+	assert.Equal(t, f.ageOf(now, Page{Revision: 9, Age: 100}, 0), clock.Milli(100))
+	f.source = storeSource
+	assert.Equal(t, f.ageOf(now, Page{Revision: 10}, 4000), clock.Milli(4000))
+	assert.Equal(t, f.ageOf(now, Page{Revision: 10}, slowReply), clock.Milli(0))
+}
--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -198,8 +198,8 @@
 	started, wait := f.Clock.Now(), f.readWait()
 	page, err := f.read(wait)
 	now := f.Clock.Now()
-	slow := now-started > wait+f.replyLimit()
-	f.doubted = f.doubted || slow || started-f.steppedAt > readInterval+slowReply
+	overdue := now - started - wait
+	f.doubted = f.doubted || overdue > f.replyLimit() || started-f.steppedAt > readInterval+slowReply
 	f.steppedAt = now
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("source", f.sourceLabel()).Int64("revision", f.after).Msg("history-gone")
@@ -211,6 +211,7 @@
 		f.handleFailure(now, err)
 		return err
 	}
+	page.Age = f.ageOf(now, page, overdue)
 	if f.source != storeSource && page.Age > f.maxAge() {
 		f.applyStale(now, page)
 		err := errors.Wrapf(errStale, "%d ms", page.Age)
@@ -232,6 +233,21 @@
 // maxAge is the age from which on a page is stale.
 func (f *Follower) maxAge() clock.Milli { return f.PollTimeout + ageSlack }
 
+// ageOf returns the age of a page that was read so much later than its wait. A reply that is
+// overdue may have been waiting for this host, which stood still; the many requests of a full
+// listing take their time. A host that knows less than this one has not reached the store since,
+// whatever age it reports: its clock may have stood still with it.
+func (f *Follower) ageOf(now clock.Milli, page Page, overdue clock.Milli) clock.Milli {
+	age := page.Age
+	if overdue > f.replyLimit() && !page.Whole {
+		age += overdue
+	}
+	if page.Revision < f.after {
+		age = max(age, now-f.freshAt)
+	}
+	return age
+}
+
 // read makes one read. If the sink has pending entries, it gets ticks meanwhile, since
 // the entries are due by the clock. When they waited for the end of the read, a source
 // that had just stopped replying delayed the removal of an entry by a second.
