mirror: keep newer data when the history is gone

When the store had dropped the changes after a host's revision, the host forgot its revision to request a full page. If its next source was another host that knew less, that host's list replaced newer data: leaves that were gone came back, and draining ones were ready again, until the next read of the store.

The host keeps its revision now, and only requests a full page; an older list is ignored as in other cases.

TestOlderListIsIgnoredAfterLostHistory fails on (with the revision set to 0, as that code did) and passes now, as does share/mirror.

--- a/share/mirror/drain_test.go
+++ b/share/mirror/drain_test.go
@@ -466,3 +466,17 @@
 	assert.Equal(t, f.ageOf(now, Page{Revision: 10}, 4000), clock.Milli(4000))
 	assert.Equal(t, f.ageOf(now, Page{Revision: 10}, slowReply), clock.Milli(0))
 }
+
+// The store has dropped the changes after a host's revision, and the next page is from another
+// host that knows less. Its full list names leaves that are gone: it must not replace what this
+// host knows.
+func TestOlderListIsIgnoredAfterLostHistory(t *testing.T) {
+	var sink leafSink
+	f := Follower{Log: zerolog.Nop(), Sink: &sink, PollTimeout: drainPoll}
+	f.handlePage(0, Page{Whole: true, Revision: 9, Items: []Item{{Key: "b"}}})
+	f.relist = true // what ErrCompacted leads to
+	f.handlePage(0, Page{Whole: true, Revision: 8, Items: []Item{{Key: "a"}, {Key: "b"}}})
+	assert.Assert(t, !sink.has("a") && f.relist)
+	f.handlePage(0, Page{Whole: true, Revision: 10, Items: []Item{{Key: "c"}}})
+	assert.Assert(t, sink.has("c") && !f.relist)
+}
--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -91,8 +91,10 @@
 	// source is the name of the source in use, and current the source itself.
 	source  string
 	current Source
-	// after is the revision up to which the data was read.
-	after int64
+	// after is the revision up to which the data was read, and relist is set while the
+	// changes since then are not available, so that the next read requests a full page.
+	after  int64
+	relist bool
 	// freshAt is when the store was in the state that was last read.
 	freshAt clock.Milli
 	// doubted is set once the store has not answered a read of this host, or this host
@@ -203,7 +205,7 @@
 	f.steppedAt = now
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("source", f.sourceLabel()).Int64("revision", f.after).Msg("history-gone")
-		f.after = 0 // the next read requests a full page
+		f.relist = true
 		return nil
 	}
 	if err != nil {
@@ -252,8 +254,12 @@
 // the entries are due by the clock. When they waited for the end of the read, a source
 // that had just stopped replying delayed the removal of an entry by a second.
 func (f *Follower) read(wait clock.Milli) (Page, error) {
+	after := f.after
+	if f.relist {
+		after = 0
+	}
 	if !f.Sink.Pending() {
-		return f.current.Read(f.after, wait)
+		return f.current.Read(after, wait)
 	}
 	type result struct {
 		page Page
@@ -261,7 +267,7 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		page, err := f.current.Read(f.after, wait)
+		page, err := f.current.Read(after, wait)
 		done <- result{page, err}
 	}()
 	ticks := time.NewTicker(tickInterval.Duration())
@@ -302,7 +308,13 @@
 	}
 	f.Log.Warn().Str("source", f.sourceLabel()).Int64("revision", page.Revision).Int64("former", f.after).
 		Int64("age-ms", int64(page.Age)).Msg("old-news-taken")
-	f.after = page.Revision
+	f.apply(now, page)
+}
+
+// apply applies a page that is not older than this host's data.
+func (f *Follower) apply(now clock.Milli, page Page) {
+	f.after = max(f.after, page.Revision)
+	f.relist = f.relist && !page.Whole
 	f.mirror.Apply(now, page)
 	f.Sink.Apply(now, page)
 }
@@ -378,9 +390,7 @@
 	if page.Whole && page.Revision < f.after {
 		return // older than the data of this host
 	}
-	f.after = max(f.after, page.Revision)
-	f.mirror.Apply(now, page)
-	f.Sink.Apply(now, page)
+	f.apply(now, page)
 }
 
 // endLoss reports the end of a loss of the store to the sink when a fresh page was read. The
