roster: count the grace from the store's return

An entry that disappeared within the 2.3 s after the store's return got another 2.3 s from then on. Live leaves are back 2 s after the store's return, so that an entry which is missing 2.3 s after it is gone, whenever it disappeared. Together with the time to learn of a removal, the second grace could pass the operators' 3 s.

TestGracePeriodCountsFromTheStoresReturn fails without the change (nothing is removed at the end of the grace) and passes now; the other tests of share/roster and platform pass unchanged.

--- a/share/roster/roster.go
+++ b/share/roster/roster.go
@@ -70,7 +70,7 @@
 	}
 	if d.unreachable || now < d.graceUntil {
 		if _, ok := d.removals[id]; !ok {
-			d.removals[id] = max(d.graceUntil, now+RemovalGrace)
+			d.removals[id] = d.graceUntil
 		}
 		return false
 	}
--- a/share/roster/roster_test.go
+++ b/share/roster/roster_test.go
@@ -36,6 +36,19 @@
 	assert.DeepEqual(t, ids(&d), []string{"a"})
 }
 
+// An entry disappears a while after the store's return. Its leaf must be gone when the others
+// that have not returned are: a grace period of its own would send requests to a leaf that may
+// have ended.
+func TestGracePeriodCountsFromTheStoresReturn(t *testing.T) {
+	var d Directory
+	d.Put(Leaf{ID: "a"})
+	d.StoreLost()
+	d.StoreRecovered(5000)
+	assert.Assert(t, !d.Remove(5000+RemovalGrace-100, "a"))
+	assert.Equal(t, len(d.Expire(5000+RemovalGrace-1)), 0)
+	assert.DeepEqual(t, d.Expire(5000+RemovalGrace), []string{"a"})
+}
+
 // A host could not reach the store, and learns that others could all the while. Entries that have
 // disappeared count at once, unless the grace period of an earlier outage goes on.
 func TestSteadyStoreGivesNoGrace(t *testing.T) {
