router, httpc: withdraw unsent calls to leaves that leave

A call that waits for a connection was sent once it opened, up to 0.4 s later, and a request for a single leaf after another wait of that length, although the leaf had been removed or had begun to drain meanwhile. That comes on top of the time to learn of a removal. Pool.Forget, which closes the idle connections to a removed leaf, was called nowhere.

The router returns a Forget for each leaf that is removed or begins to drain. The pool closes the leaf's idle connections and withdraws the calls that are not sent yet; these go to another leaf, free of charge, since no leaf has seen them. A call that is cancelled while its new connection is watched is not sent any more either.

TestForgottenLeafGetsNoRequest fails on (answered instead of withdrawn). TestUnsentCallsToALeavingLeafAreWithdrawn needs the new action. Both pass now, as do share/httpc, share/router and share/proxy.

--- a/share/httpc/httpc_test.go
+++ b/share/httpc/httpc_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -357,6 +358,48 @@
 	assert.Assert(t, d.Kind.NotRun())
 }
 
+// slowClock is a clock on which everything takes long.
+type slowClock struct{ reads atomic.Int64 }
+
+// Now returns a time that is 300 ms after the former one.
+func (c *slowClock) Now() clock.Milli { return clock.Milli(300 * c.reads.Add(1)) }
+
+// A leaf is removed or begins to drain while a call to it waits for its connection. The
+// request must not be sent to it a moment later, and an idle connection must not stay open.
+func TestForgottenLeafGetsNoRequest(t *testing.T) {
+	received := make(chan string, 10)
+	l := serve(t, func(c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			received <- "the connection was closed"
+			return
+		}
+		received <- r.Header.Get(DefaultDialect.RequestID)
+		writeText(c, response(r.Header.Get(DefaultDialect.RequestID), "done"))
+		_, err = in.ReadByte()
+		assert.Check(t, err != nil)
+		received <- "the connection was closed"
+	})
+	c := newCaller(t)
+	c.pool.Clock = &slowClock{} // a new connection is watched for as long as it took to open
+	send := router.Send{
+		Call: 1, Leaf: "l", Address: l.ln.Addr().String(), Timeout: 1000, AwaitRejection: true,
+		Request: &call.Request{ID: "q", Method: "GET", Target: "/x", Host: "h", Header: http.Header{}},
+	}
+	c.pool.Send(send)
+	<-l.accepted
+	c.pool.Forget("l")
+	d := <-c.done
+	assert.Equal(t, d.Kind, call.Withdrawn, d.Cause)
+	assert.Equal(t, <-received, "the connection was closed")
+	send.Call = 2
+	c.pool.Send(send)
+	assert.Equal(t, (<-c.done).Kind, call.Answered)
+	assert.Equal(t, <-received, "q")
+	c.pool.Forget("l")
+	assert.Equal(t, <-received, "the connection was closed")
+}
+
 // After a broken call, a connection check finds out whether the leaf went down. It must
 // report only an address at which nothing listens.
 func TestConnCheckReportsOnlyRefusedConnections(t *testing.T) {
--- a/share/httpc/pool.go
+++ b/share/httpc/pool.go
@@ -50,7 +50,12 @@
 }
 
 // activeCall is a call in flight.
-type activeCall struct{ cancel context.CancelFunc }
+type activeCall struct {
+	leaf   string // the leaf, or the address of another host
+	cancel context.CancelFunc
+	// sent is set before the request is sent; a call that was cancelled by then sends none.
+	sent bool
+}
 
 // Send starts a call to a leaf.
 func (p *Pool) Send(send router.Send) { p.start(send, p.newRequest(send)) }
@@ -67,7 +72,7 @@
 	if p.calls == nil {
 		p.calls = map[uint64]*activeCall{}
 	}
-	p.calls[send.Call] = &activeCall{cancel: cancel}
+	p.calls[send.Call] = &activeCall{leaf: send.Leaf, cancel: cancel}
 	p.wait.Go(func() { p.run(ctx, send, request) })
 }
 
@@ -187,17 +192,35 @@
 	}
 }
 
-// Forget closes the idle connections to a removed leaf.
+// Forget closes the idle connections to a leaf that gets no more requests, and withdraws
+// the calls to it that wait for a connection.
 func (p *Pool) Forget(leaf string) {
 	p.mu.Lock()
 	list := p.idle[leaf]
 	delete(p.idle, leaf)
+	for _, active := range p.calls {
+		if active.leaf == leaf && !active.sent {
+			active.cancel()
+		}
+	}
 	p.mu.Unlock()
 	for _, c := range list {
 		c.close()
 	}
 }
 
+// markSent records that a call's request is about to be sent. It reports false if the call
+// was cancelled before.
+func (p *Pool) markSent(ctx context.Context, id uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	p.calls[id].sent = true
+	return true
+}
+
 // Close cancels all calls, closes all connections and waits for them to end. Calls that
 // it cancels are not reported.
 func (p *Pool) Close() error {
@@ -254,6 +277,10 @@
 			return router.CallDone{Kind: call.NotSent, Cause: ErrIdleClosed.Error()}
 		}
 	}
+	if !p.markSent(ctx, send.Call) {
+		c.close()
+		return router.CallDone{Kind: call.Withdrawn, Cause: "not sent yet"}
+	}
 	return p.exchange(ctx, c, j, send)
 }
 
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -214,6 +214,8 @@
 			s.pool.Send(a)
 		case router.Cancel:
 			s.pool.Cancel(a.Call)
+		case router.Forget:
+			s.pool.Forget(a.Leaf)
 		case router.Forward:
 			s.pool.Forward(a)
 		case router.Preconnect:
--- a/share/router/engine.go
+++ b/share/router/engine.go
@@ -351,6 +351,7 @@
 	}
 	if l.Draining && !f.Draining {
 		e.emit(LogRecord{Kind: LogLeafDraining, Leaf: l.ID, Service: l.Service})
+		e.emit(Forget{Leaf: l.ID})
 	}
 	f.Leaf = l
 	e.setLeafRegion(f)
@@ -360,10 +361,11 @@
 	return !same
 }
 
-// removeLeaf removes a leaf that is no longer listed or is replaced. Calls in flight to it
-// continue.
+// removeLeaf removes a leaf that is no longer listed or is replaced. Calls that have been
+// sent to it continue.
 func (e *Engine) removeLeaf(f *leaf) {
 	f.removed = true
+	e.emit(Forget{Leaf: f.ID})
 	delete(e.leaves, f.ID)
 	s := e.services[f.Service]
 	for i, l := range s.leaves {
--- a/share/router/router_test.go
+++ b/share/router/router_test.go
@@ -23,6 +23,7 @@
 	sends        []Send
 	forwards     []Forward
 	cancels      []Cancel
+	forgotten    []string
 	probes       []Probe
 	answers      map[uint64]Answer
 	logs         []LogRecord
@@ -56,6 +57,8 @@
 			r.forwards = append(r.forwards, a)
 		case Cancel:
 			r.cancels = append(r.cancels, a)
+		case Forget:
+			r.forgotten = append(r.forgotten, a.Leaf)
 		case Probe:
 			r.probes = append(r.probes, a)
 		case Answer:
--- a/share/router/single_test.go
+++ b/share/router/single_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -103,6 +104,30 @@
 	assert.Equal(t, len(r.sends), sent)
 }
 
+// A leaf begins to drain, and the entry of another is removed, while calls to them wait for a
+// connection. These calls must be withdrawn and made to another leaf, which costs no retry.
+func TestUnsentCallsToALeavingLeafAreWithdrawn(t *testing.T) {
+	leaves := []roster.Leaf{leafOf("s", "a", nearDomain), leafOf("s", "b", nearDomain), leafOf("s", "c", farDomain)}
+	r := newRig(t)
+	r.handle(Topology{Table: table(1, singleRoute(false)), Leaves: leaves})
+	q := r.arrive("/one/x", 4000)
+	leaving := r.last().Leaf
+	for i := range leaves {
+		leaves[i].Draining = leaves[i].ID == leaving
+	}
+	r.handle(Topology{Leaves: leaves})
+	assert.DeepEqual(t, r.forgotten, []string{leaving})
+	r.fail(r.last(), call.Withdrawn)
+	removed := r.last().Leaf
+	assert.Assert(t, removed != leaving)
+	r.handle(Topology{Leaves: slices.DeleteFunc(leaves, func(l roster.Leaf) bool { return l.ID == removed })})
+	assert.DeepEqual(t, r.forgotten, []string{leaving, removed})
+	r.fail(r.last(), call.Withdrawn)
+	assert.Equal(t, len(r.sends), 3)
+	r.reply(r.last())
+	assert.Assert(t, r.answers[q].Reply != nil)
+}
+
 // Two services share a route three to one, and both answer at once. The operators' weights must
 // hold exactly.
 func TestWeightsAreKept(t *testing.T) {
--- a/share/router/types.go
+++ b/share/router/types.go
@@ -141,6 +141,10 @@
 // Preconnect opens a connection to another host before it is needed.
 type Preconnect struct{ Address string }
 
+// Forget closes the idle connections to a leaf that has been removed or is draining, and
+// withdraws the calls to it that have not been sent.
+type Forget struct{ Leaf string }
+
 // Cancel aborts a call to a leaf or to another host by closing its connection.
 type Cancel struct{ Call uint64 }
 
@@ -340,6 +344,7 @@
 func (Preconnect) action() {}
 func (Forward) action()    {}
 func (Send) action()       {}
+func (Forget) action()     {}
 func (Cancel) action()     {}
 func (Probe) action()      {}
 func (CheckConn) action()  {}
