--- a/share/fetch/client.go
+++ b/share/fetch/client.go
@@ -12,6 +12,8 @@
 type Client struct {
 	Engine  *Engine
 	Address string
+	// DialTimeout bounds the time to open a connection; 0 means DefaultDialTimeout.
+	DialTimeout time.Duration
 
 	conn *Conn
 }
@@ -20,7 +22,7 @@
 // the connection: one may stop responding for good while new ones work.
 func (c *Client) Do(r *http.Request, timeout time.Duration) (Reply, error) {
 	if c.conn == nil {
-		c.conn = &Conn{Engine: c.Engine, Address: c.Address}
+		c.conn = &Conn{Engine: c.Engine, Address: c.Address, DialTimeout: c.DialTimeout}
 	}
 	reply, err := c.conn.doAndWait(r, timeout)
 	if err != nil {
--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -33,8 +34,8 @@
 	errInterim = errors.New("interim reply")
 )
 
-// dialTimeout bounds the time to open a connection.
-const dialTimeout = time.Second
+// DefaultDialTimeout bounds the time to open a connection unless a Conn sets another one.
+const DefaultDialTimeout = time.Second
 
 // Reply is a complete HTTP reply.
 type Reply struct {
@@ -122,6 +123,8 @@
 	Engine *Engine
 	// Address is the IP and port of the server.
 	Address string
+	// DialTimeout bounds the time to open the connection; 0 means DefaultDialTimeout.
+	DialTimeout time.Duration
 	// OnClose is called once either side has closed the connection, or it could not be
 	// opened; it may be nil. It must not call the Conn.
 	OnClose func()
@@ -159,7 +162,7 @@
 	if !c.mustDial() {
 		return nil, nil
 	}
-	d := net.Dialer{Timeout: dialTimeout, LocalAddr: SourceAddr(c.Engine.Source)}
+	d := net.Dialer{Timeout: cmp.Or(c.DialTimeout, DefaultDialTimeout), LocalAddr: SourceAddr(c.Engine.Source)}
 	conn, err := d.Dial("tcp", c.Address)
 	if err != nil {
 		c.Engine.loops.Release(err)
