leaves: start no goroutine while the pool closes

What operators saw: an aggregator that was stopped with SIGTERM could exit with "panic: sync: WaitGroup is reused before previous Wait has returned".

Cause: Pool.Close waits for the pool's goroutines while the control loop still runs. When a call ended just then, the loop closed its connection, which started another goroutine as the wait ended.

Close now takes all connections itself; CloseConn starts nothing after that. A connection that is added after Close is never opened.

--- a/aggregator/leaves/pool.go
+++ b/aggregator/leaves/pool.go
@@ -200,10 +200,11 @@
 // CloseConn closes a connection in the background. An unknown ID is ignored.
 func (p *Pool) CloseConn(id sched.ConnID) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	c := p.conns[id]
 	delete(p.conns, id)
-	p.mu.Unlock()
-	if c != nil {
+	// A connection that was added after Close has never been opened.
+	if c != nil && !p.closed {
 		p.wait.Go(c.Close)
 	}
 }
@@ -212,14 +213,11 @@
 func (p *Pool) Close() error {
 	p.mu.Lock()
 	p.closed = true
-	ids := make([]sched.ConnID, 0, len(p.conns))
-	for id := range p.conns {
-		ids = append(ids, id)
+	for _, c := range p.conns {
+		p.wait.Go(c.Close)
 	}
+	p.conns = nil
 	p.mu.Unlock()
-	for _, id := range ids {
-		p.CloseConn(id)
-	}
 	p.wait.Wait()
 	return nil
 }
