mirror: keep a doubt of the store until later data

Another host's page may be 1.5 s old and count as fresh: in an outage of 2.1 s in which the store rejects reads at once, a host read such pages between its own rejected reads, found the store back, and removed leaves whose entries had lapsed. Only data that is later than the doubt ends it now.

--- a/share/mirror/drain_test.go
+++ b/share/mirror/drain_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"dandelionstile/share/clock"
 	"dandelionstile/share/fetch"
@@ -91,6 +92,7 @@
 type leafReader struct {
 	store *leafStore
 	mode  atomic.Int32
+	reads atomic.Int64
 	stop  chan struct{}
 }
 
@@ -107,6 +109,7 @@
 
 // Read waits for changes. A reply that is due while the store is silent is lost.
 func (r *leafReader) Read(after int64, wait clock.Milli) (Page, error) {
+	r.reads.Add(1)
 	end := time.Now().Add(wait.Duration())
 	for {
 		page, changed := r.store.since(after)
@@ -245,7 +248,7 @@
 		<-w.host.stop
 	}
 	if w.host.slow.Load() {
-		time.Sleep(slowAnswer)
+		w.host.reader.pause(slowAnswer)
 	}
 	return w.ResponseWriter.Write(body)
 }
@@ -304,27 +307,29 @@
 	f.t.Cleanup(func() { h.close(f.t) })
 }
 
-// settle waits until all hosts have the leaves and the ones that read the store do so for
-// the others.
+// settle waits until all hosts have the leaves and the readers' polls have their steady rhythm.
 func (f *leafFleet) settle() {
 	f.t.Helper()
-	f.await("all leaves", func(h *leafHost) bool { return h.sink.has("a") && h.sink.has("b") })
-	time.Sleep(2 * drainPoll.Duration()) // the readers' polls reach their steady rhythm
+	f.await("all leaves are known", func(h *leafHost) bool { return h.sink.has("a") && h.sink.has("b") })
+	for _, region := range []string{regionOne, regionTwo} {
+		for _, reader := range f.ranked(region)[:min(1, len(f.ranked(region)))] {
+			seen := reader.reader.reads.Load()
+			f.await("the reader has polled the store", func(*leafHost) bool { return reader.reader.reads.Load() >= seen+2 })
+		}
+	}
 }
 
 // await waits until all hosts fulfil a condition, for drainBound at most.
 func (f *leafFleet) await(what string, fulfilled func(*leafHost) bool) {
 	f.t.Helper()
-	end := time.Now().Add(drainBound)
-	for _, h := range f.hosts {
-		for !fulfilled(h) {
-			if time.Now().After(end) {
-				f.t.Errorf("host %s has not reached this after %s: %s", h.follower.Self.Address, drainBound, what)
-				break
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		for _, h := range f.hosts {
+			if !fulfilled(h) {
+				return poll.Continue("host %s has not reached this: %s", h.follower.Self.Address, what)
 			}
-			time.Sleep(5 * time.Millisecond)
 		}
-	}
+		return poll.Success()
+	}, poll.WithTimeout(drainBound), poll.WithDelay(5*time.Millisecond))
 }
 
 // ranked returns the hosts of a region in the order in which they read the store: the
@@ -342,8 +347,8 @@
 	return list
 }
 
-// take removes a host from those that conditions are checked for.
-func (f *leafFleet) take(h *leafHost) {
+// exclude leaves a host out of the conditions that are checked.
+func (f *leafFleet) exclude(h *leafHost) {
 	for i, other := range f.hosts {
 		if other == h {
 			f.hosts = append(f.hosts[:i:i], f.hosts[i+1:]...)
@@ -394,12 +399,11 @@
 				f := startFleet(t, regionOne, regionOne, regionOne, regionOne, regionOne, regionOne)
 				order := f.ranked(regionOne)
 				fail(f, order[0])
-				f.take(order[0])
+				f.exclude(order[0])
 				if failNext != nil {
 					failNext(f, order[1])
-					f.take(order[1])
+					f.exclude(order[1])
 				}
-				time.Sleep(50 * time.Millisecond)
 				f.store.remove("a")
 				f.await("the removed leaf is gone", func(h *leafHost) bool { return !h.sink.has("a") })
 				for _, h := range f.hosts {
@@ -423,8 +427,7 @@
 		readerFaults["refused"](f, h)
 	}
 	readerFaults["cut"](f, order[0])
-	f.take(order[0])
-	time.Sleep(50 * time.Millisecond)
+	f.exclude(order[0])
 	f.store.remove("a")
 	f.await("the removed leaf is gone", func(h *leafHost) bool { return !h.sink.has("a") })
 }
--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -97,9 +97,9 @@
 	relist bool
 	// freshAt is when the store was in the state that was last read.
 	freshAt clock.Milli
-	// doubted is set once the store has not answered a read of this host, or this host
-	// has stood still, since the data was last fresh.
-	doubted bool
+	// doubtedAt is when the store last did not answer a read of this host, or this host
+	// stood still; 0 if data of a later time has been read since.
+	doubtedAt clock.Milli
 	// lost is set while the sink counts the store as lost.
 	lost bool
 	// steppedAt is when the last read ended.
@@ -201,7 +201,12 @@
 	page, err := f.read(wait)
 	now := f.Clock.Now()
 	overdue := now - started - wait
-	f.doubted = f.doubted || overdue > f.replyLimit() || started-f.steppedAt > readInterval+slowReply
+	switch {
+	case overdue > f.replyLimit(), err != nil && f.source == storeSource && !errors.Is(err, ErrCompacted):
+		f.doubtedAt = now
+	case started-f.steppedAt > readInterval+slowReply:
+		f.doubtedAt = started
+	}
 	f.steppedAt = now
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("source", f.sourceLabel()).Int64("revision", f.after).Msg("history-gone")
@@ -209,7 +214,6 @@
 		return nil
 	}
 	if err != nil {
-		f.doubted = f.doubted || f.source == storeSource
 		f.handleFailure(now, err)
 		return err
 	}
@@ -357,8 +361,8 @@
 	f.chooser.recordFailure(now, f.source)
 	f.mu.Unlock()
 	f.Log.Warn().Err(err).Str("source", f.sourceLabel()).Int64("revision", f.after).
-		Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubted).Msg("source-failed")
-	if f.doubted && now-f.freshAt > lostAfter {
+		Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubtedAt != 0).Msg("source-failed")
+	if f.doubtedAt != 0 && now-f.freshAt > lostAfter {
 		f.lose(now)
 	}
 }
@@ -370,7 +374,7 @@
 	}
 	f.lost = true
 	f.mirror.setSteadySince(now)
-	f.Log.Warn().Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubted).Msg("store-lost")
+	f.Log.Warn().Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubtedAt != 0).Msg("store-lost")
 	f.Sink.StoreLost(now)
 }
 
@@ -398,10 +402,13 @@
 // reply, and a host that stood still has made no read.
 func (f *Follower) endLoss(now clock.Milli, page Page) {
 	away := now - f.freshAt
-	if f.doubted && away > lostAfter {
+	if f.doubtedAt != 0 && away > lostAfter {
 		f.lose(now)
 	}
-	f.doubted = false
+	// Another host's data may be fresh enough to use and yet older than the doubt.
+	if now-page.Age >= f.doubtedAt {
+		f.doubtedAt = 0
+	}
 	if !f.lost {
 		return
 	}
