mirror: look for another source without pauses

Hosts of a large region try the next reader before the store.

- A copy whose age had almost reached the limit was accepted, and read again after a pause and a wait of 0.4 s.
The pause ends now when the data becomes too old.
- The first failure is followed by the next source at once; the pause of 0.1 s comes only after a second one.
- A host that has already lost its source is told of a fresh copy at once; one that does not know yet is told at once that a copy is too old, also if it was so when it asked.

--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -48,7 +48,7 @@
 	// readInterval is the interval between two reads. Leaves that start together
 	// write one after the other, and each read of the store is billed.
 	readInterval clock.Milli = 150
-	// retryInterval is the interval after a failed read.
+	// retryInterval is the interval after a failed read that followed another one.
 	retryInterval clock.Milli = 100
 	// tickInterval is the interval between ticks of a pending sink.
 	tickInterval clock.Milli = 100
@@ -57,7 +57,7 @@
 	lostAfter clock.Milli = 1500
 	// immediateWait requests the store's current state without waiting for a change.
 	immediateWait clock.Milli = 1
-	// refreshWait is how long a host whose own data is stale lets another host look
+	// refreshWait is how long a host that has lost its source lets another host look
 	// for fresh data before it tries the next source.
 	refreshWait clock.Milli = 250
 	// ageSlack is how much older than PollTimeout, the wait of the other host's own
@@ -102,6 +102,8 @@
 	doubtedAt clock.Milli
 	// lost is set while the sink counts the store as lost.
 	lost bool
+	// searching is set after a read that failed or brought only stale data.
+	searching bool
 	// steppedAt is when the last read ended.
 	steppedAt clock.Milli
 	// peersKnown is closed once other hosts are known.
@@ -180,18 +182,32 @@
 	f.freshAt = f.Clock.Now()
 	f.steppedAt = f.freshAt
 	for {
-		interval := readInterval
-		if err := f.step(); err != nil {
-			interval = retryInterval
-		}
+		searching := f.searching
+		err := f.step()
+		f.searching = err != nil
 		select {
 		case <-f.stop:
 			return
-		case <-time.After(interval.Duration()):
+		case <-time.After(f.pause(searching).Duration()):
 		}
 	}
 }
 
+// pause returns the time until the next read. After the first failure there is none, since
+// another source may be well; and another host is read again no later than the data becomes
+// stale.
+func (f *Follower) pause(wasSearching bool) clock.Milli {
+	switch {
+	case f.searching && wasSearching:
+		return retryInterval
+	case f.searching:
+		return 0
+	case f.source == storeSource:
+		return readInterval
+	}
+	return min(readInterval, max(0, f.freshAt+f.maxAge()-f.Clock.Now()))
+}
+
 // step makes one read from the preferred source and applies its result. It returns an
 // error if the source failed or has only stale data. After ErrCompacted it returns nil, and
 // the next read requests a full page.
@@ -295,7 +311,7 @@
 		return immediateWait
 	case f.source == storeSource:
 		return f.PollTimeout
-	case age > f.maxAge():
+	case f.searching:
 		return refreshWait
 	}
 	return min(f.PollTimeout, maxPeerWait)
--- a/share/mirror/serve.go
+++ b/share/mirror/serve.go
@@ -51,21 +51,24 @@
 }
 
 // await returns the changes after a revision. Without any, it waits for them until the wait is
-// over or stop is closed. It also returns as soon as the copy becomes too old, so that the
-// reader turns to another source, or, if it was too old at first, fresh again: this host may
-// just have begun to look for another source itself.
+// over or stop is closed, and returns as soon as the copy is too old, so that the reader turns to
+// another source. A reader that waits for refreshWait at most does that already: for it, await
+// returns as soon as the copy is fresh for a while. It may be about to become so, since this host
+// has often lost the same source at the same time.
 func (m *Mirror) await(c clock.Clock, stop <-chan struct{}, after int64, wait, maxAge clock.Milli) (Page, bool) {
 	end := c.Now() + wait
+	searching := wait <= refreshWait
 	page, updated, ok := m.Since(c.Now(), after)
-	fresh := func() bool { return ok && page.Age <= maxAge }
-	startedFresh := fresh()
-	for !page.hasChanges() && fresh() == startedFresh {
+	for !page.hasChanges() {
 		left := end - c.Now()
-		if left <= 0 {
+		if ok && searching && page.Age <= maxAge-refreshWait {
 			break
 		}
-		if startedFresh {
-			left = min(left, maxAge-page.Age+1)
+		if ok && !searching {
+			left = min(left, maxAge+1-page.Age)
+		}
+		if left <= 0 {
+			break
 		}
 		timer := time.NewTimer(left.Duration())
 		select {
