--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -48,7 +48,7 @@
 	// readInterval is the interval between two reads. Leaves that start together
 	// write one after the other, and each read of the store is billed.
 	readInterval clock.Milli = 150
-	// retryInterval is the interval after a failed read.
+	// retryInterval is the interval after a failed read that followed another one.
 	retryInterval clock.Milli = 100
 	// tickInterval is the interval between ticks of a pending sink.
 	tickInterval clock.Milli = 100
@@ -57,7 +57,7 @@
 	lostAfter clock.Milli = 1500
 	// immediateWait requests the store's current state without waiting for a change.
 	immediateWait clock.Milli = 1
-	// refreshWait is how long a host whose own data is stale lets another host look
+	// refreshWait is how long a host that has lost its source lets another host look
 	// for fresh data before it tries the next source.
 	refreshWait clock.Milli = 250
 	// ageSlack is how much older than PollTimeout, the wait of the other host's own
@@ -97,11 +97,13 @@
 	relist bool
 	// freshAt is when the store was in the state that was last read.
 	freshAt clock.Milli
-	// doubted is set once the store has not answered a read of this host, or this host
-	// has stood still, since the data was last fresh.
-	doubted bool
+	// doubtedAt is when the store last did not answer a read of this host, or this host
+	// stood still; 0 if data of a later time has been read since.
+	doubtedAt clock.Milli
 	// lost is set while the sink counts the store as lost.
 	lost bool
+	// searching is set after a read that failed or brought only stale data.
+	searching bool
 	// steppedAt is when the last read ended.
 	steppedAt clock.Milli
 	// peersKnown is closed once other hosts are known.
@@ -180,18 +182,32 @@
 	f.freshAt = f.Clock.Now()
 	f.steppedAt = f.freshAt
 	for {
-		interval := readInterval
-		if err := f.step(); err != nil {
-			interval = retryInterval
-		}
+		searching := f.searching
+		err := f.step()
+		f.searching = err != nil
 		select {
 		case <-f.stop:
 			return
-		case <-time.After(interval.Duration()):
+		case <-time.After(f.pause(searching).Duration()):
 		}
 	}
 }
 
+// pause returns the time until the next read. After the first failure there is none, since
+// another source may be well; and another host is read again no later than the data becomes
+// stale.
+func (f *Follower) pause(wasSearching bool) clock.Milli {
+	switch {
+	case f.searching && wasSearching:
+		return retryInterval
+	case f.searching:
+		return 0
+	case f.source == storeSource:
+		return readInterval
+	}
+	return min(readInterval, max(0, f.freshAt+f.maxAge()-f.Clock.Now()))
+}
+
 // step makes one read from the preferred source and applies its result. It returns an
 // error if the source failed or has only stale data. After ErrCompacted it returns nil, and
 // the next read requests a full page.
@@ -201,7 +217,12 @@
 	page, err := f.read(wait)
 	now := f.Clock.Now()
 	overdue := now - started - wait
-	f.doubted = f.doubted || overdue > f.replyLimit() || started-f.steppedAt > readInterval+slowReply
+	switch {
+	case overdue > f.replyLimit(), err != nil && f.source == storeSource && !errors.Is(err, ErrCompacted):
+		f.doubtedAt = now
+	case started-f.steppedAt > readInterval+slowReply:
+		f.doubtedAt = started
+	}
 	f.steppedAt = now
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Str("source", f.sourceLabel()).Int64("revision", f.after).Msg("history-gone")
@@ -209,7 +230,6 @@
 		return nil
 	}
 	if err != nil {
-		f.doubted = f.doubted || f.source == storeSource
 		f.handleFailure(now, err)
 		return err
 	}
@@ -291,7 +311,7 @@
 		return immediateWait
 	case f.source == storeSource:
 		return f.PollTimeout
-	case age > f.maxAge():
+	case f.searching:
 		return refreshWait
 	}
 	return min(f.PollTimeout, maxPeerWait)
@@ -357,8 +377,8 @@
 	f.chooser.recordFailure(now, f.source)
 	f.mu.Unlock()
 	f.Log.Warn().Err(err).Str("source", f.sourceLabel()).Int64("revision", f.after).
-		Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubted).Msg("source-failed")
-	if f.doubted && now-f.freshAt > lostAfter {
+		Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubtedAt != 0).Msg("source-failed")
+	if f.doubtedAt != 0 && now-f.freshAt > lostAfter {
 		f.lose(now)
 	}
 }
@@ -370,7 +390,7 @@
 	}
 	f.lost = true
 	f.mirror.setSteadySince(now)
-	f.Log.Warn().Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubted).Msg("store-lost")
+	f.Log.Warn().Int64("age-ms", int64(now-f.freshAt)).Bool("store-doubted", f.doubtedAt != 0).Msg("store-lost")
 	f.Sink.StoreLost(now)
 }
 
@@ -398,10 +418,13 @@
 // reply, and a host that stood still has made no read.
 func (f *Follower) endLoss(now clock.Milli, page Page) {
 	away := now - f.freshAt
-	if f.doubted && away > lostAfter {
+	if f.doubtedAt != 0 && away > lostAfter {
 		f.lose(now)
 	}
-	f.doubted = false
+	// Another host's data may be fresh enough to use and yet older than the doubt.
+	if now-page.Age >= f.doubtedAt {
+		f.doubtedAt = 0
+	}
 	if !f.lost {
 		return
 	}
