httpd, proxy, platform: log why an answer is lost, and what a stop leaves behind

Callers of a host that was stopped saw connections that closed without an answer. Nothing in the logs told whether the host had closed the connection as idle, at its end, or was killed, nor when the signal came.

No decision changes.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -53,6 +53,9 @@
 	// rejectedAt is when an incomplete request was rejected. Bytes that arrive
 	// after it are discarded.
 	rejectedAt time.Time
+	// closeCause is why this host has closed the connection at closedAt, if it has.
+	closeCause closeCause
+	closedAt   time.Time
 }
 
 // add records a connection that was accepted.
@@ -140,14 +143,21 @@
 }
 
 // remove removes a connection, which the library reports as closed once its last request has
-// been handled.
-func (c *conns) remove(conn net.Conn) {
+// been handled. It returns the connection's loss if requests on it were not handled, because
+// this host had closed it.
+func (c *conns) remove(conn net.Conn) *loss {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.find(conn); o != nil {
-		c.releaseHeld(o)
-		delete(c.open, conn.RemoteAddr().String())
+	o := c.find(conn)
+	if o == nil {
+		return nil
 	}
+	c.releaseHeld(o)
+	delete(c.open, conn.RemoteAddr().String())
+	if o.requests == 0 {
+		return nil
+	}
+	return o.loss(o.requests)
 }
 
 // recordRequestRead records that a request has been read completely. The library calls
@@ -207,6 +217,18 @@
 	}
 }
 
+// findLoss returns the loss of an answer that was to be written by now, or nil if this host has
+// not closed its connection before.
+func (c *conns) findLoss(conn net.Conn) *loss {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.find(conn)
+	if o == nil {
+		return nil
+	}
+	return o.loss(0)
+}
+
 // recordRequestDone records that the handler of a request has returned. The connection is
 // idle from then on unless it has another request.
 func (c *conns) recordRequestDone(conn net.Conn) {
@@ -254,9 +276,11 @@
 // in part counts as none.
 func (c *conns) closeIdle() {
 	c.mu.Lock()
+	now := time.Now()
 	var idle []net.Conn
 	for _, o := range c.open {
-		if !c.isAdding(o) && o.requests == 0 && time.Since(o.idleSince) >= idleGrace && !o.hasUnsent() && !o.hasUnread() {
+		if !c.isAdding(o) && o.requests == 0 && now.Sub(o.idleSince) >= idleGrace && !o.hasUnsent() && !o.hasUnread() {
+			o.markClosed(causeIdle, now)
 			idle = append(idle, o.conn)
 		}
 	}
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -122,7 +122,7 @@
 	// Called once the connection has a parser, and before its first event.
 	s.engine.Engine.OnOpen(s.opened)
 	s.engine.OnWrittenSize(recordSent)
-	s.engine.OnClose(func(c net.Conn, _ error) { s.conns.remove(c) })
+	s.engine.OnClose(func(c net.Conn, _ error) { s.logLoss(s.conns.remove(c)) })
 	if err := s.engine.Start(); err != nil {
 		return errors.Wrapf(err, "serve on %s", s.Address)
 	}
@@ -171,7 +171,7 @@
 
 // addConn adds a connection to the engine, or closes it if there are too many.
 func (s *Server) addConn(conn net.Conn) error {
-	if s.conns.count()+int(s.waiting.Load()) >= s.maxConns() {
+	if s.Conns() >= s.maxConns() {
 		_ = conn.Close()
 		return nil
 	}
@@ -307,6 +307,7 @@
 	s.active.Add(1)
 	defer s.active.Done()
 	conn := connOf(w)
+	defer s.afterAnswer(conn, func() { s.logLoss(s.conns.findLoss(conn)) })
 	defer s.conns.recordRequestDone(conn)
 	if status := s.limits.Load().checkRequest(r); status != 0 {
 		s.reportRejected(r.RemoteAddr, status)
@@ -319,6 +320,14 @@
 	s.Handler.ServeHTTP(w, r)
 }
 
+// afterAnswer calls f once the library has written the answer of the handler that is about to
+// return, or at once if the connection is closed.
+func (s *Server) afterAnswer(conn net.Conn, f func()) {
+	if c, ok := conn.(*nbio.Conn); !ok || !c.Execute(f) {
+		f()
+	}
+}
+
 // Addr returns the address that the server listens on, or Address before Start.
 func (s *Server) Addr() string {
 	if s.addr == nil {
@@ -327,6 +336,9 @@
 	return s.addr.String()
 }
 
+// Conns returns the number of open connections.
+func (s *Server) Conns() int { return s.conns.count() + int(s.waiting.Load()) }
+
 // CloseIdle closes the connections that have no request in flight. A request that
 // is sent while the connection is closed was not handled, and its caller may send
 // it again.
@@ -343,6 +355,7 @@
 	err := s.listener.Close()
 	s.workers.Wait()
 	s.loops.Close()
+	s.conns.markAllClosed(causeStop)
 	s.engine.Stop()
 	return errors.Wrapf(err, "stop serving on %s", s.Address)
 }
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -161,6 +161,10 @@
 			continue
 		}
 		action := l.nextAction(o, now)
+		cause := causeIdle
+		if !o.rejectedAt.IsZero() {
+			cause = causeRejected
+		}
 		if !c.holdAnswers(o) {
 			// The answers of callers that do not read must not take the memory that all
 			// others need.
@@ -170,8 +174,10 @@
 		case closeConn:
 			expired = append(expired, o.conn)
 			if o.hasUnsent() {
+				cause = causeUnread
 				unread = append(unread, o.conn)
 			}
+			o.markClosed(cause, now)
 		case rejectTimedOut:
 			o.rejectedAt = now
 			timedOut = append(timedOut, o.conn)
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -267,10 +267,12 @@
 // callers, and returns when no request is in flight and all answers are sent, or after
 // leaveTime.
 func (s *Server) Leave() {
+	start := time.Now()
+	var pauses pauseMeter
 	s.leaving.Store(true)
 	s.peers.leave()
-	s.Log.Info().Int64("under-way", s.underWay()).Msg("leaving")
-	time.Sleep(balancerDelay)
+	s.logStop().Msg("leaving")
+	pauses.sleep(balancerDelay)
 	for waited := balancerDelay; waited < s.leaveTime(); waited += leavePollInterval {
 		// CloseIdle spares connections that had a request in the last 100 ms, so the
 		// loop makes a few rounds even if no request is in flight.
@@ -278,9 +280,24 @@
 		if s.underWay() == 0 && waited > balancerDelay+4*leavePollInterval {
 			break
 		}
-		time.Sleep(leavePollInterval)
+		pauses.sleep(leavePollInterval)
 	}
-	s.Log.Info().Int64("under-way", s.underWay()).Msg("left")
+	s.logStop().Int64("took-ms", time.Since(start).Milliseconds()).Int64("stood-still-ms", pauses.longest.Milliseconds()).Msg("left")
+}
+
+// logStop returns a log line with what the host still has to do before it ends.
+func (s *Server) logStop() *zerolog.Event {
+	return s.Log.Info().Int64("under-way", s.underWay()).Int("connections", s.server.Conns()).Int("from-hosts", s.forwards.Conns())
+}
+
+// pauseMeter measures by how much sleeps were too long, which is how long the process stood
+// still.
+type pauseMeter struct{ longest time.Duration }
+
+func (p *pauseMeter) sleep(d time.Duration) {
+	start := time.Now()
+	time.Sleep(d)
+	p.longest = max(p.longest, time.Since(start)-d)
 }
 
 // Close stops everything and waits. Requests in flight get a final answer.
