httpd: show that CloseIdle loses requests read after its check

Callers saw their connection closed without an answer to a request that had run.

closeIdle checks all connections under its lock, then closes them one after the other while the event loops go on reading. The test holds it up in its first close, which lingers, and sends a request on the second connection: it is handled, then closed.

--- /dev/null
+++ b/share/httpd/drain_test.go
@@ -0,0 +1,136 @@
+package httpd
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// drainServer is a server with one event loop. It handles requests to /held until answer is
+// called.
+type drainServer struct {
+	*Server
+	// began counts the held requests whose handler has been called.
+	began  atomic.Int32
+	answer func()
+	// close closes the server, and returns the same error if it is called again.
+	close func() error
+}
+
+// startDrain starts a server, which the test closes at its end.
+func startDrain(t *testing.T) *drainServer {
+	t.Helper()
+	held := make(chan struct{})
+	d := &drainServer{answer: sync.OnceFunc(func() { close(held) })}
+	d.Server = &Server{Address: "127.0.0.1:0", pollers: 1, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
+		if r.URL.Path == "/held" {
+			d.began.Add(1)
+			<-held
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(make([]byte, size)) // the caller may have disconnected
+	})}
+	d.close = sync.OnceValue(d.Close)
+	assert.NilError(t, d.Start())
+	t.Cleanup(func() { assert.NilError(t, d.close()) })
+	t.Cleanup(d.answer)
+	return d
+}
+
+// send sends a request without waiting for its answer.
+func (c *client) send(t *testing.T, path string) {
+	t.Helper()
+	_, err := io.WriteString(c.conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+}
+
+// receive reads an answer to its end, and returns its size.
+func (c *client) receive() (int64, error) {
+	res, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	n, err := io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return n, err
+}
+
+// isClosed reports whether the server has closed its end of a connection.
+func isClosed(c *nbio.Conn) bool {
+	c.Lock()
+	defer c.Unlock()
+	closed, _ := c.IsClosed()
+	return closed
+}
+
+// waitAtMost waits until a condition holds, or for settle: a server need not let it become true.
+func waitAtMost(condition func() bool) {
+	for end := time.Now().Add(settle); !condition() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// checkBetweenCloses has a server close two connections, and sends a request on one of them once
+// the other is closed. A close takes until its caller has read an answer, since the sockets linger.
+func checkBetweenCloses(t *testing.T, d *drainServer, closeBoth func()) {
+	t.Helper()
+	const linger, size = 5, 256 << 10 // in seconds; more than the callers' sockets take
+	var callers [2]*client
+	var ends [2]*nbio.Conn
+	for i := range callers {
+		callers[i] = dial(t, d.Server)
+		callers[i].send(t, "/")
+		_, err := callers[i].receive()
+		assert.NilError(t, err)
+		ends[i] = d.serverSide(callers[i].conn).(*nbio.Conn)
+		assert.NilError(t, ends[i].SetLinger(1, linger))
+		callers[i].send(t, "/?bytes="+strconv.Itoa(size))
+	}
+	time.Sleep(2 * idleGrace) // until the connections count as idle
+	assert.Equal(t, d.Unsent(), 0)
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		closeBoth()
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if isClosed(ends[0]) || isClosed(ends[1]) {
+			return poll.Success()
+		}
+		return poll.Continue("no connection is closed")
+	}, poll.WithDelay(time.Millisecond))
+	first, second := callers[0], callers[1]
+	if isClosed(ends[1]) {
+		first, second = second, first
+	}
+	second.send(t, "/held")
+	waitAtMost(func() bool { return d.began.Load() > 0 })
+	for _, c := range []*client{second, first} {
+		n, err := c.receive()
+		assert.NilError(t, err)
+		assert.Equal(t, n, int64(size))
+	}
+	<-closed
+	waitAtMost(func() bool { return d.began.Load() > 0 })
+	began := d.began.Load()
+	d.answer()
+	if _, err := second.receive(); began > 0 {
+		assert.NilError(t, err, "the answer of a request that was handled")
+	}
+}
+
+// A request is read after CloseIdle has found its connection idle, and before it closes it. The
+// request was handled and its caller got no answer.
+func TestIdleCloseAnswersRequestsReadAfterItsCheck(t *testing.T) {
+	d := startDrain(t)
+	checkBetweenCloses(t, d, d.CloseIdle)
+}
