httpd: show that CloseIdle closes connections whose request is not parsed yet

An event loop has taken a request from the socket and stands still before it is counted. The socket has no unread bytes and the connection no request, so that CloseIdle closes it. The request is not handled; its caller gets FIN without an answer.

--- a/share/httpd/drain_test.go
+++ b/share/httpd/drain_test.go
@@ -134,3 +134,36 @@
 	d := startDrain(t)
 	checkBetweenCloses(t, d, d.CloseIdle)
 }
+
+// CloseIdle closes a connection whose event loop has taken a request from the socket and has not
+// parsed it yet. The caller got no answer to a request that its host had read.
+func TestIdleCloseSparesRequestsThatAreNotParsed(t *testing.T) {
+	d := startDrain(t)
+	c := dial(t, d.Server)
+	c.send(t, "/")
+	_, err := c.receive()
+	assert.NilError(t, err)
+	end := d.serverSide(c.conn).(*nbio.Conn)
+	read, parse := make(chan struct{}), make(chan struct{})
+	resume := sync.OnceFunc(func() { close(parse) })
+	t.Cleanup(resume)
+	handleData := end.DataHandler()
+	end.OnData(func(c *nbio.Conn, data []byte) {
+		close(read)
+		<-parse
+		handleData(c, data)
+	})
+	time.Sleep(2 * idleGrace) // until the connection counts as idle
+	c.send(t, "/")
+	<-read
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		d.CloseIdle()
+	}()
+	waitAtMost(func() bool { return isClosed(end) })
+	resume()
+	<-closed
+	_, err = c.receive()
+	assert.NilError(t, err)
+}
