--- a/share/httpd/drain_test.go
+++ b/share/httpd/drain_test.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// timeOutIdle applies a short idle timeout for a while.
+func (d *drainServer) timeOutIdle() {
+	d.SetLimits(Limits{IdleTimeout: time.Millisecond})
+	time.Sleep(2 * sweepInterval)
+	d.SetLimits(Limits{})
+}
+
 // checkBetweenCloses has a server close two connections, and sends a request on one of them once
 // the other is closed. A close takes until its caller has read an answer, since the sockets linger.
 func checkBetweenCloses(t *testing.T, d *drainServer, closeBoth func()) {
@@ -167,3 +174,10 @@
 	_, err = c.receive()
 	assert.NilError(t, err)
 }
+
+// A request is read after the idle timeout of its connection was checked, and before the
+// connection is closed. The request was handled and its caller got no answer.
+func TestIdleTimeoutAnswersRequestsReadAfterItsCheck(t *testing.T) {
+	d := startDrain(t)
+	checkBetweenCloses(t, d, d.timeOutIdle)
+}
