httpd: show that idle closes lose answers that are not written yet

A request counts as done when its handler returns; the library writes the answer after that. If the host stands still in between for longer than idleGrace, or than the idle timeout, the connection is closed and the answer dropped. The test pauses a handler that wraps the server's.

--- a/share/httpd/drain_test.go
+++ b/share/httpd/drain_test.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// pauseBeforeWrite makes a server pause between the return of a handler and the write of its
+// answer, until write is called. returned is closed once it pauses.
+func (d *drainServer) pauseBeforeWrite(t *testing.T) (returned <-chan struct{}, write func()) {
+	t.Helper()
+	done, gate := make(chan struct{}), make(chan struct{})
+	write = sync.OnceFunc(func() { close(gate) })
+	t.Cleanup(write)
+	d.engine.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.serve(w, r)
+		close(done)
+		<-gate
+	})
+	return done, write
+}
+
 // timeOutIdle applies a short idle timeout for a while.
 func (d *drainServer) timeOutIdle() {
 	d.SetLimits(Limits{IdleTimeout: time.Millisecond})
@@ -181,3 +196,27 @@
 	d := startDrain(t)
 	checkBetweenCloses(t, d, d.timeOutIdle)
 }
+
+// CloseIdle and the idle timeout find a connection idle whose handler has returned some time
+// before, on a host that paused before it wrote the answer. The caller got none.
+func TestIdleCloseSparesAnswersThatAreNotWritten(t *testing.T) {
+	for name, closeIdle := range map[string]func(*drainServer){
+		"CloseIdle":    func(d *drainServer) { d.CloseIdle() },
+		"idle timeout": (*drainServer).timeOutIdle,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startDrain(t)
+			returned, write := d.pauseBeforeWrite(t)
+			c := dial(t, d.Server)
+			c.send(t, "/")
+			<-returned
+			time.Sleep(2 * idleGrace) // until the connection counts as idle
+			end := d.serverSide(c.conn).(*nbio.Conn)
+			closeIdle(d)
+			waitAtMost(func() bool { return isClosed(end) })
+			write()
+			_, err := c.receive()
+			assert.NilError(t, err)
+		})
+	}
+}
