httpd: show that Close loses answers that are not written yet

Close waits for handlers to return and then closes all connections. An answer that the library has not written by then is dropped.

--- a/share/httpd/drain_test.go
+++ b/share/httpd/drain_test.go
@@ -101,6 +101,17 @@
 	d.SetLimits(Limits{})
 }
 
+// startClose starts to close a server. closed is closed at the end.
+func (d *drainServer) startClose(t *testing.T) (closed <-chan struct{}) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		assert.Check(t, d.close())
+	}()
+	return done
+}
+
 // checkBetweenCloses has a server close two connections, and sends a request on one of them once
 // the other is closed. A close takes until its caller has read an answer, since the sockets linger.
 func checkBetweenCloses(t *testing.T, d *drainServer, closeBoth func()) {
@@ -220,3 +231,20 @@
 		})
 	}
 }
+
+// Close ends a connection whose handler has returned and whose answer is not written yet. The
+// caller got none.
+func TestCloseWaitsForAnswersThatAreNotWritten(t *testing.T) {
+	d := startDrain(t)
+	returned, write := d.pauseBeforeWrite(t)
+	c := dial(t, d.Server)
+	c.send(t, "/")
+	<-returned
+	end := d.serverSide(c.conn).(*nbio.Conn)
+	closed := d.startClose(t)
+	waitAtMost(func() bool { return isClosed(end) })
+	write()
+	_, err := c.receive()
+	assert.NilError(t, err)
+	<-closed
+}
