httpd: show that Close cuts off answers that callers are reading

Close drops what the library holds for a socket that is full, even if the caller goes on reading. The caller gets a part of its answer, then FIN.

--- a/share/httpd/drain_test.go
+++ b/share/httpd/drain_test.go
@@ -112,6 +112,23 @@
 	return done
 }
 
+// hasInFlight returns a check that this many requests were read and their handlers have not
+// returned.
+func (d *drainServer) hasInFlight(want int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		d.conns.mu.Lock()
+		defer d.conns.mu.Unlock()
+		got := 0
+		for _, o := range d.conns.open {
+			got += o.requests
+		}
+		if got != want {
+			return poll.Continue("%d requests are in flight", got)
+		}
+		return poll.Success()
+	}
+}
+
 // checkBetweenCloses has a server close two connections, and sends a request on one of them once
 // the other is closed. A close takes until its caller has read an answer, since the sockets linger.
 func checkBetweenCloses(t *testing.T, d *drainServer, closeBoth func()) {
@@ -248,3 +265,22 @@
 	assert.NilError(t, err)
 	<-closed
 }
+
+// Close ends the connection of a caller that is reading its answer. The caller got a part of it.
+func TestCloseLetsCallersReadTheirAnswers(t *testing.T) {
+	d := startDrain(t)
+	c := dial(t, d.Server)
+	const size = 16 << 20 // more than the sockets take
+	c.send(t, "/?bytes="+strconv.Itoa(size))
+	_, err := c.reader.Peek(1)
+	assert.NilError(t, err)
+	end := d.serverSide(c.conn).(*nbio.Conn)
+	poll.WaitOn(t, d.hasInFlight(0), poll.WithDelay(time.Millisecond))
+	assert.Equal(t, d.Unsent(), 1)
+	closed := d.startClose(t)
+	waitAtMost(func() bool { return isClosed(end) })
+	n, err := c.receive()
+	assert.NilError(t, err, "after %d bytes of %d", n, size)
+	assert.Equal(t, n, int64(size))
+	<-closed
+}
