httpd: show that Close loses requests whose handler was not called yet

Close waits for handlers that were called. A request that was read and waits for its turn counts only for CloseIdle: its connection is closed, its handler is called all the same, and its caller gets FIN without an answer.

--- a/share/httpd/drain_test.go
+++ b/share/httpd/drain_test.go
@@ -284,3 +284,28 @@
 	assert.Equal(t, n, int64(size))
 	<-closed
 }
+
+// Close ends a connection whose request was read and whose handler has not been called yet. The
+// handler was called later and the caller got no answer.
+func TestCloseWaitsForRequestsThatWereRead(t *testing.T) {
+	d := startDrain(t)
+	c := dial(t, d.Server)
+	c.send(t, "/")
+	_, err := c.receive()
+	assert.NilError(t, err)
+	end := d.serverSide(c.conn).(*nbio.Conn)
+	handle := make(chan struct{})
+	assert.Assert(t, end.Execute(func() { <-handle })) // handlers run after it
+	release := sync.OnceFunc(func() { close(handle) })
+	t.Cleanup(release)
+	c.send(t, "/held")
+	poll.WaitOn(t, d.hasInFlight(1), poll.WithDelay(time.Millisecond))
+	closed := d.startClose(t)
+	waitAtMost(func() bool { return isClosed(end) })
+	release()
+	d.answer()
+	_, err = c.receive()
+	<-closed
+	waitAtMost(func() bool { return d.began.Load() > 0 })
+	assert.NilError(t, err, "handled %d times", d.began.Load())
+}
