httpd: show that Close loses requests read during it

Once no handler runs, Close stops accepting and waits for the event loops, which go on reading. A request that had arrived on an open connection, or comes with one that is accepted late, is handled; then its connection is closed.

--- a/share/httpd/drain_test.go
+++ b/share/httpd/drain_test.go
@@ -309,3 +309,41 @@
 	waitAtMost(func() bool { return d.began.Load() > 0 })
 	assert.NilError(t, err, "handled %d times", d.began.Load())
 }
+
+// Close finds no request in flight, though one has arrived that is read while Close stops the other
+// parts of the server. It was handled and its caller got no answer.
+func TestCloseAnswersRequestsReadDuringIt(t *testing.T) {
+	for name, hold := range map[string]func(*testing.T, *drainServer) (c *client, release func()){
+		"event loop is late": func(t *testing.T, d *drainServer) (*client, func()) {
+			c := dial(t, d.Server)
+			c.send(t, "/")
+			_, err := c.receive()
+			assert.NilError(t, err)
+			return c, blockLoop(t, d.Server)
+		},
+		"accept is late": func(t *testing.T, d *drainServer) (*client, func()) {
+			d.conns.mu.Lock()
+			return dial(t, d.Server), d.conns.mu.Unlock
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startDrain(t)
+			c, release := hold(t, d)
+			release = sync.OnceFunc(release)
+			t.Cleanup(release)
+			c.send(t, "/held")
+			time.Sleep(settle) // until the request has crossed loopback
+			closed := d.startClose(t)
+			time.Sleep(settle) // until Close waits
+			release()
+			waitAtMost(func() bool { return d.Conns() == 0 })
+			waitAtMost(func() bool { return d.began.Load() > 0 })
+			d.answer()
+			_, err := c.receive()
+			<-closed
+			if d.began.Load() > 0 {
+				assert.NilError(t, err, "the answer of a request that was handled")
+			}
+		})
+	}
+}
