httpd, evloop: close idle connections in the event loop that reads them

Callers of a host that was stopped, or whose idle timeout came, saw their open connection closed without an answer, after a leaf had run the request.

A request that was read in between ran, and its answer had no connection. A pause of the process between the check and the close, or many connections, made that last longer. What a loop had taken from the socket and not parsed counted for nothing either.

Now a connection is judged and closed by the event loop that reads it, so that no request comes in between. What the socket holds by then is not read, and its caller may send it again. A connection with a part of a request is not idle.

--- a/share/evloop/evloop.go
+++ b/share/evloop/evloop.go
@@ -9,6 +9,7 @@
 
 import (
 	"net"
+	"sync"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -80,6 +81,24 @@
 	return nil
 }
 
+// Each has every event loop call f, and returns a function that waits until all have done so.
+// A loop reads its connections and nobody else does, so what f finds about those that it owns
+// holds until f returns. After Close, f is not called.
+func (l *Loops) Each(f func(owns func(*nbio.Conn) bool)) (wait func()) {
+	var calls sync.WaitGroup
+	for _, lp := range l.loops {
+		calls.Add(1)
+		owns := func(c *nbio.Conn) bool { return l.loopOf(c.Hash()) == lp }
+		if !lp.call(func() { defer calls.Done(); f(owns) }) {
+			calls.Done()
+		}
+	}
+	return calls.Wait
+}
+
+// Call has the event loop that reads c call f, unless the loops are closed.
+func (l *Loops) Call(c *nbio.Conn, f func()) { l.loopOf(c.Hash()).call(f) }
+
 // Prepare holds descriptors for the next connections, so that they need not wait for their
 // loops. It is called after Add, when nobody waits for the connection any more, and does not
 // wait itself.
--- a/share/evloop/evloop_test.go
+++ b/share/evloop/evloop_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -265,3 +266,39 @@
 	l.Close()
 	g.Stop()
 }
+
+// Two loops that own a connection would close it while the other one reads it; one that no loop
+// owns would stay open.
+func TestEveryConnectionHasOneLoop(t *testing.T) {
+	const loops, conns = 3, 12
+	g, l := startEngine(t, loops)
+	added := make(chan *nbio.Conn, conns)
+	for range conns {
+		client, server := dialLocal(t)
+		defer func() { assert.NilError(t, client.Close()) }()
+		assert.NilError(t, l.Add(server, func(c *nbio.Conn) {
+			_, err := g.AddConn(c)
+			assert.Check(t, err)
+			added <- c
+		}))
+	}
+	owners := map[int]int{}
+	var mu sync.Mutex
+	for range conns {
+		c := <-added
+		l.Each(func(owns func(*nbio.Conn) bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			if owns(c) {
+				owners[c.Hash()]++
+			}
+		})()
+	}
+	assert.Equal(t, len(owners), conns)
+	for _, n := range owners {
+		assert.Equal(t, n, 1)
+	}
+	l.Close()
+	l.Each(func(func(*nbio.Conn) bool) { t.Error("called after Close") })()
+	g.Stop()
+}
--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -271,15 +271,20 @@
 	return err == nil && unread
 }
 
-// closeIdle closes the connections that have had no request in flight for idleGrace, whose
-// callers have taken their answers, and that have no unread bytes. A request that was read only
-// in part counts as none.
-func (c *conns) closeIdle() {
-	c.mu.Lock()
+// isBusy reports whether a connection has a request, or a part of one, or an answer that its
+// caller has not taken yet.
+func (o *openConn) isBusy() bool {
+	return o.requests > 0 || !o.requestStarted.IsZero() || !o.rejectedAt.IsZero() || o.hasUnsent() || o.hasUnread()
+}
+
+// closeIdle closes those connections that an event loop owns and that have not been busy for
+// idleGrace. It must be called in that loop, which then reads no request in between.
+func (c *conns) closeIdle(owns func(net.Conn) bool) {
 	now := time.Now()
 	var idle []net.Conn
+	c.mu.Lock()
 	for _, o := range c.open {
-		if !c.isAdding(o) && o.requests == 0 && now.Sub(o.idleSince) >= idleGrace && !o.hasUnsent() && !o.hasUnread() {
+		if owns(o.conn) && !c.isAdding(o) && now.Sub(o.idleSince) >= idleGrace && !o.isBusy() {
 			o.markClosed(causeIdle, now)
 			idle = append(idle, o.conn)
 		}
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -197,19 +197,42 @@
 		case <-s.stop:
 			return
 		case now := <-ticks.C:
-			timedOut, unread := s.conns.sweep(*s.limits.Load(), now)
-			for _, conn := range timedOut {
+			limits := *s.limits.Load()
+			for _, conn := range s.conns.sweep(limits, now) {
 				if c, ok := conn.(*nbio.Conn); ok {
-					s.reject(c, http.StatusRequestTimeout)
+					s.loops.Call(c, func() { s.end(c, limits, now) })
 				}
 			}
-			for _, conn := range unread {
-				s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Msg("answer-unread")
-			}
 		}
 	}
 }
 
+// end ends a connection in its event loop if a time limit still says so.
+func (s *Server) end(c *nbio.Conn, l Limits, now time.Time) {
+	action, cause := s.conns.end(c, l, now)
+	switch action {
+	case closeConn:
+		_ = c.Close() // fails only if the caller closed it first
+		if cause == causeUnread {
+			s.Log.Warn().Str("remote", c.RemoteAddr().String()).Msg("answer-unread")
+		}
+	case rejectTimedOut:
+		s.reject(c, http.StatusRequestTimeout)
+	case keepOpen:
+	}
+}
+
+// inLoops has every event loop call f for the connections that it owns, and returns a function
+// that waits for that.
+func (s *Server) inLoops(f func(owns func(net.Conn) bool)) (wait func()) {
+	return s.loops.Each(func(owns func(*nbio.Conn) bool) {
+		f(func(conn net.Conn) bool {
+			c, ok := conn.(*nbio.Conn)
+			return ok && owns(c)
+		})
+	})
+}
+
 // readBufferBytes is the size of one read from a connection.
 const readBufferBytes = 32 << 10
 
@@ -339,10 +362,10 @@
 // Conns returns the number of open connections.
 func (s *Server) Conns() int { return s.conns.count() + int(s.waiting.Load()) }
 
-// CloseIdle closes the connections that have no request in flight. A request that
-// is sent while the connection is closed was not handled, and its caller may send
-// it again.
-func (s *Server) CloseIdle() { s.conns.closeIdle() }
+// CloseIdle closes the connections that have had no request for idleGrace, nor a part of one,
+// and does not wait for that. A request that is sent while the connection is closed was not
+// read, and its caller may send it again.
+func (s *Server) CloseIdle() { s.inLoops(s.conns.closeIdle) }
 
 // Close waits for the requests in flight and stops the server. Requests that
 // arrive during Close may be cut off.
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -150,43 +150,52 @@
 	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), retry)
 }
 
-// sweep closes the connections that were idle or rejected for too long, or whose callers do
-// not read their answers, and returns the latter as unread. It marks those whose request timed
-// out as rejected and returns them.
-func (c *conns) sweep(l Limits, now time.Time) (timedOut, unread []net.Conn) {
-	var expired []net.Conn
+// sweep returns the connections that a time limit, or want of memory, ends by now.
+func (c *conns) sweep(l Limits, now time.Time) (due []net.Conn) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, o := range c.open {
-		if c.isAdding(o) {
-			continue
+		if !c.isAdding(o) && c.nextAction(o, l, now) != keepOpen {
+			due = append(due, o.conn)
 		}
-		action := l.nextAction(o, now)
-		cause := causeIdle
-		if !o.rejectedAt.IsZero() {
+	}
+	return due
+}
+
+// nextAction returns what to do with a connection. The lock must be held.
+func (c *conns) nextAction(o *openConn, l Limits, now time.Time) connAction {
+	action := l.nextAction(o, now)
+	if !c.holdAnswers(o) {
+		// The answers of callers that do not read must not take the memory that all
+		// others need.
+		return closeConn
+	}
+	return action
+}
+
+// end ends a connection that sweep returned, unless its caller has sent or taken bytes since. It
+// returns what it has done, or what is left to do if the request timed out, and why it closed
+// the connection. It must be called in the connection's event loop, which reads no request in
+// between.
+func (c *conns) end(conn net.Conn, l Limits, now time.Time) (connAction, closeCause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.find(conn)
+	if o == nil {
+		return keepOpen, ""
+	}
+	action, cause := c.nextAction(o, l, now), causeIdle
+	switch action {
+	case rejectTimedOut:
+		o.rejectedAt = now
+	case closeConn:
+		if o.hasUnsent() {
+			cause = causeUnread
+		} else if !o.rejectedAt.IsZero() {
 			cause = causeRejected
 		}
-		if !c.holdAnswers(o) {
-			// The answers of callers that do not read must not take the memory that all
-			// others need.
-			action = closeConn
-		}
-		switch action {
-		case closeConn:
-			expired = append(expired, o.conn)
-			if o.hasUnsent() {
-				cause = causeUnread
-				unread = append(unread, o.conn)
-			}
-			o.markClosed(cause, now)
-		case rejectTimedOut:
-			o.rejectedAt = now
-			timedOut = append(timedOut, o.conn)
-		case keepOpen:
-		}
-	}
-	c.mu.Unlock()
-	for _, conn := range expired {
-		_ = conn.Close() // fails only if the caller closed it first
+		o.markClosed(cause, now)
+	case keepOpen:
 	}
-	return timedOut, unread
+	return action, cause
 }
