httpd: count a request as in flight until its answer is written

Callers of a host whose process stood still for more than 100 ms between the return of a handler and the write of its answer saw their connection closed without the answer, if idle connections were closed then.

A request counted as done when its handler returned. The library writes the answer after that, and only the 100 ms that an idle close spares kept the two apart. Now the connection's job queue, which runs the handler and the write, tells when the answer has been handed to the socket.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -13,9 +13,8 @@
 	"dandelionstile/share/quota"
 )
 
-// idleGrace is how long a connection must be without a request before it counts as
-// idle. nbhttp writes the answer only after the handler returns, and closing the
-// connection before that would cut the answer off.
+// idleGrace is how long a connection must be without a request before it counts as idle. The
+// first request of a new connection, or the next one of another, may be on its way.
 const idleGrace = 100 * time.Millisecond
 
 // conns holds a server's open connections by remote address.
@@ -37,9 +36,10 @@
 	// heldRequests and heldAnswers are the bytes of requests and of unsent answers that count
 	// for memory.
 	heldRequests, heldAnswers int64
-	// requests counts the requests that were read and whose handler has not returned.
+	// requests counts the requests that were read and whose answer the library has not
+	// written yet, as far as the socket takes it.
 	requests int
-	// idleSince is when the last handler returned or, before the first request,
+	// idleSince is when the last answer was written or, before the first request,
 	// when the connection was opened.
 	idleSince time.Time
 	// requestStarted is when the first byte of an incomplete request arrived,
@@ -217,32 +217,32 @@
 	}
 }
 
-// findLoss returns the loss of an answer that was to be written by now, or nil if this host has
-// not closed its connection before.
-func (c *conns) findLoss(conn net.Conn) *loss {
+// recordHandled records that the handler of a request has returned.
+func (c *conns) recordHandled(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.find(conn)
-	if o == nil {
-		return nil
+	if o := c.find(conn); o != nil {
+		o.cancel = nil
 	}
-	return o.loss(0)
 }
 
-// recordRequestDone records that the handler of a request has returned. The connection is
-// idle from then on unless it has another request.
-func (c *conns) recordRequestDone(conn net.Conn) {
+// recordAnswered records that the answer to a request has been written. The connection is idle
+// from then on unless it has another request. It returns the answer's loss, if it has no
+// connection any more because this host has closed it.
+func (c *conns) recordAnswered(conn net.Conn) *loss {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o := c.find(conn); o != nil {
-		o.requests--
-		o.cancel = nil
-		o.idleSince = time.Now()
-		if o.requests == 0 && o.requestStarted.IsZero() {
-			c.memory.Release(o.heldRequests)
-			o.heldRequests = 0
-		}
+	o := c.find(conn)
+	if o == nil {
+		return nil
+	}
+	o.requests--
+	o.idleSince = time.Now()
+	if o.requests == 0 && o.requestStarted.IsZero() {
+		c.memory.Release(o.heldRequests)
+		o.heldRequests = 0
 	}
+	return o.loss(0)
 }
 
 // hasUnread reports whether the socket has bytes to read. If it has, the request
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -330,8 +330,8 @@
 	s.active.Add(1)
 	defer s.active.Done()
 	conn := connOf(w)
-	defer s.afterAnswer(conn, func() { s.logLoss(s.conns.findLoss(conn)) })
-	defer s.conns.recordRequestDone(conn)
+	defer s.afterAnswer(conn, func() { s.logLoss(s.conns.recordAnswered(conn)) })
+	defer s.conns.recordHandled(conn)
 	if status := s.limits.Load().checkRequest(r); status != 0 {
 		s.reportRejected(r.RemoteAddr, status)
 		w.Header().Set("Connection", "close")
--- a/share/httpd/httpd_test.go
+++ b/share/httpd/httpd_test.go
@@ -51,7 +51,7 @@
 	go func() { _, _ = server.Write([]byte("x")) }()
 	_, err := peer.Read(make([]byte, 1))
 	assert.NilError(t, err, "closed while a request was in flight")
-	c.recordRequestDone(server)
+	c.recordAnswered(server)
 	c.closeIdle(all)
 	go func() { _, _ = server.Write([]byte("x")) }()
 	_, err = peer.Read(make([]byte, 1))
