httpd, proxy: let Close answer every request that was read

Callers of a host that ended saw their connection closed without an answer, or in the middle of one: a request that was read and not handled yet, one that came while Close stopped the other parts, an answer that was not written yet or that its caller was still reading. If a request began as the last one ended, Close panicked, "WaitGroup is reused before previous Wait has returned", and the process ended with all of its connections.

Close waited for the handlers alone, with a WaitGroup that requests went on using, and then had the library close all connections at once.

Now Close refuses connections first. Each event loop closes those of its own that have no request, until none is left; answers that callers have not taken get 0.5 s. Only then is the library stopped. A host closes its two servers at the same time, so that the second one's callers don't wait for those of the first.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -143,8 +143,8 @@
 }
 
 // remove removes a connection, which the library reports as closed once its last request has
-// been handled. It returns the connection's loss if requests on it were not handled, because
-// this host had closed it.
+// been handled. It returns the connection's loss if this host has closed it before requests on it
+// were handled or its caller had taken an answer.
 func (c *conns) remove(conn net.Conn) *loss {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -154,7 +154,7 @@
 	}
 	c.releaseHeld(o)
 	delete(c.open, conn.RemoteAddr().String())
-	if o.requests == 0 {
+	if o.requests == 0 && (!o.hasUnsent() || o.closeCause == causeUnread) {
 		return nil
 	}
 	return o.loss(o.requests)
@@ -280,17 +280,45 @@
 // closeIdle closes those connections that an event loop owns and that have not been busy for
 // idleGrace. It must be called in that loop, which then reads no request in between.
 func (c *conns) closeIdle(owns func(net.Conn) bool) {
+	c.closeAll(owns, causeIdle, func(o *openConn, now time.Time) bool {
+		return now.Sub(o.idleSince) >= idleGrace && !o.isBusy()
+	})
+}
+
+// closeUnused closes those connections that an event loop owns and that have no request that
+// was read whole. Unless final is set, it waits for callers that have not taken their answers
+// and reads what has arrived. It must be called in that loop.
+func (c *conns) closeUnused(owns func(net.Conn) bool, final bool) {
+	c.closeAll(owns, causeStop, func(o *openConn, _ time.Time) bool {
+		return o.requests == 0 && (final || !o.hasUnsent() && !o.hasUnread())
+	})
+}
+
+// handling reports whether a request has been read and not answered yet.
+func (c *conns) handling() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.open {
+		if o.requests > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// closeAll closes those connections that an event loop owns and that match.
+func (c *conns) closeAll(owns func(net.Conn) bool, cause closeCause, matches func(o *openConn, now time.Time) bool) {
 	now := time.Now()
-	var idle []net.Conn
+	var matching []net.Conn
 	c.mu.Lock()
 	for _, o := range c.open {
-		if owns(o.conn) && !c.isAdding(o) && now.Sub(o.idleSince) >= idleGrace && !o.isBusy() {
-			o.markClosed(causeIdle, now)
-			idle = append(idle, o.conn)
+		if owns(o.conn) && !c.isAdding(o) && matches(o, now) {
+			o.markClosed(cause, now)
+			matching = append(matching, o.conn)
 		}
 	}
 	c.mu.Unlock()
-	for _, conn := range idle {
+	for _, conn := range matching {
 		_ = conn.Close() // fails only if the caller closed it first
 	}
 }
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -82,9 +82,9 @@
 	engine   *nbhttp.Engine
 	addr     net.Addr
 	listener net.Listener
+	refusing atomic.Bool // listener is closed
 	loops    evloop.Loops
 	waiting  atomic.Int32 // accepted connections that the engine does not have yet
-	active   sync.WaitGroup
 	conns    conns
 	limits   atomic.Pointer[Limits]
 	buffers  sync.Pool
@@ -147,7 +147,7 @@
 // BodyLimit returns the current limit on request bodies, in bytes.
 func (s *Server) BodyLimit() int { return s.limits.Load().MaxBodyBytes }
 
-// accept accepts connections until Close.
+// accept accepts connections until the listener is closed.
 func (s *Server) accept() {
 	for {
 		s.loops.Prepare()
@@ -158,14 +158,12 @@
 		if err == nil {
 			continue
 		}
-		select {
-		case <-s.stop:
+		if s.refusing.Load() {
 			return
-		default:
-			s.Log.Warn().Err(err).Str("address", s.Addr()).Msg("accept-failed")
-			s.loops.Release(err)
-			time.Sleep(acceptRetryDelay)
 		}
+		s.Log.Warn().Err(err).Str("address", s.Addr()).Msg("accept-failed")
+		s.loops.Release(err)
+		time.Sleep(acceptRetryDelay)
 	}
 }
 
@@ -327,8 +325,6 @@
 
 // serve handles one request: it enforces the limits and calls the handler.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	s.active.Add(1)
-	defer s.active.Done()
 	conn := connOf(w)
 	defer s.afterAnswer(conn, func() { s.logLoss(s.conns.recordAnswered(conn)) })
 	defer s.conns.recordHandled(conn)
@@ -362,25 +358,45 @@
 // Conns returns the number of open connections.
 func (s *Server) Conns() int { return s.conns.count() + int(s.waiting.Load()) }
 
+// StopListening refuses new connections from now on. Close does so too.
+func (s *Server) StopListening() error {
+	if s.listener == nil || s.refusing.Swap(true) {
+		return nil
+	}
+	return errors.Wrapf(s.listener.Close(), "stop listening on %s", s.Address)
+}
+
 // CloseIdle closes the connections that have had no request for idleGrace, nor a part of one,
 // and does not wait for that. A request that is sent while the connection is closed was not
 // read, and its caller may send it again.
 func (s *Server) CloseIdle() { s.inLoops(s.conns.closeIdle) }
 
-// Close waits for the requests in flight and stops the server. Requests that
-// arrive during Close may be cut off.
+const (
+	// closeLinger is how long Close waits for callers that have not taken their answers.
+	closeLinger       = 500 * time.Millisecond
+	closePollInterval = 5 * time.Millisecond
+)
+
+// Close stops listening, waits for the requests that were read and, for closeLinger, until
+// callers have taken their answers, and stops the server.
 func (s *Server) Close() error {
 	if s.stop == nil {
 		return nil
 	}
-	s.active.Wait()
+	err := s.StopListening()
 	close(s.stop)
-	err := s.listener.Close()
 	s.workers.Wait()
+	for end := time.Now().Add(closeLinger); s.Conns() > 0; time.Sleep(closePollInterval) {
+		final := time.Now().After(end)
+		s.inLoops(func(owns func(net.Conn) bool) { s.conns.closeUnused(owns, final) })()
+		if final && !s.conns.handling() {
+			break
+		}
+	}
 	s.loops.Close()
 	s.conns.markAllClosed(causeStop)
 	s.engine.Stop()
-	return errors.Wrapf(err, "stop serving on %s", s.Address)
+	return err
 }
 
 // ReadJSON decodes a whole body into v. It returns ErrTooLarge for a body over the limit
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -306,7 +306,9 @@
 	<-s.stopped
 	s.callers.closeAll()
 	err := s.peers.close()
+	forwards := make(chan error, 1)
+	go func() { forwards <- s.forwards.Close() }()
 	err = errors.CombineErrors(err, s.server.Close())
-	err = errors.CombineErrors(err, s.forwards.Close())
+	err = errors.CombineErrors(err, <-forwards)
 	return errors.CombineErrors(err, s.pool.Close())
 }
