httpd: add a failing test of Close beside callers that go on

Close waits until no handler runs, and only then closes the listener and stops reading. As long as requests overlap that never happens: the process goes on until its callers stop or the platform kills it, with requests in flight.

--- a/share/httpd/close_test.go
+++ b/share/httpd/close_test.go
@@ -61,3 +61,48 @@
 	}()
 	return s.Close()
 }
+
+// Callers go on sending while a server closes, so that there always is a request in flight. Close
+// must not wait for requests that come after it.
+func TestCloseWaitsForLaterRequests(t *testing.T) {
+	const callers, work, patience = 32, 20 * time.Millisecond, time.Second
+	s := &Server{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(work)
+		w.WriteHeader(http.StatusOK)
+	})}
+	assert.NilError(t, s.Start())
+	var wait sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range callers {
+		c, err := net.Dial("tcp", s.Addr())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+		wait.Go(func() {
+			time.Sleep(work * time.Duration(i) / callers)
+			answer := make([]byte, 4096)
+			for err := error(nil); err == nil; {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, err = io.WriteString(c, plainRequest); err == nil {
+					_, err = c.Read(answer)
+				}
+			}
+		})
+	}
+	time.Sleep(2 * work) // until all have sent
+	closed := make(chan error, 1)
+	go func() { closed <- closeOrRecover(s) }()
+	select {
+	case err := <-closed:
+		assert.Check(t, err)
+	case <-time.After(patience):
+		t.Errorf("Close still waits after %s, for requests of %s", patience, work)
+		close(stop)
+		assert.Check(t, <-closed)
+	}
+	wait.Wait()
+}
