httpd: do not wait in Close for requests that come after it

A process that ended beside callers who go on sending did not end before they stopped, or the platform killed it with requests in flight.

While Close waited for the requests of a connection, it read the next ones. Now a connection on which an answer is due ends with it: nothing is read any more, and the answer says "Connection: close".

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -53,6 +53,8 @@
 	// rejectedAt is when an incomplete request was rejected. Bytes that arrive
 	// after it are discarded.
 	rejectedAt time.Time
+	// ending is set if no further request is read, since the server closes.
+	ending bool
 	// closeCause is why this host has closed the connection at closedAt, if it has.
 	closeCause closeCause
 	closedAt   time.Time
@@ -175,7 +177,7 @@
 }
 
 // recordBytes records bytes of a request and reports whether they are to be parsed.
-// They are not if the request has been rejected, if the connection is about to be closed, or
+// They are not if the request has been rejected, if the connection is ending, or
 // if they make the request larger than the limits allow; then status is the one to reject it
 // with, and otherwise 0.
 func (c *conns) recordBytes(conn net.Conn, data []byte, l Limits) (status int, accepted bool) {
@@ -186,7 +188,7 @@
 	if o == nil {
 		return 0, true
 	}
-	if !o.rejectedAt.IsZero() || o.caller != nil && o.caller.closing.Load() {
+	if o.ending || !o.rejectedAt.IsZero() || o.caller != nil && o.caller.closing.Load() {
 		return 0, false
 	}
 	if o.requestStarted.IsZero() {
@@ -286,11 +288,18 @@
 }
 
 // closeUnused closes those connections that an event loop owns and that have no request that
-// was read whole. Unless final is set, it waits for callers that have not taken their answers
-// and reads what has arrived. It must be called in that loop.
+// was read whole. The others end with their answers, for which it waits unless final is set;
+// no further request is read on them. It must be called in that loop.
 func (c *conns) closeUnused(owns func(net.Conn) bool, final bool) {
 	c.closeAll(owns, causeStop, func(o *openConn, _ time.Time) bool {
-		return o.requests == 0 && (final || !o.hasUnsent() && !o.hasUnread())
+		switch {
+		case o.requests > 0, o.hasUnsent() && !final:
+			o.ending = true
+			return false
+		case o.ending, final:
+			return true
+		}
+		return !o.hasUnread()
 	})
 }
 
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -336,6 +336,9 @@
 	}
 	r, cancel := s.conns.withCancel(r, conn)
 	defer cancel()
+	if s.refusing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
