proxy, httpd: leave by the clock, and only when callers have no connection

Callers of a host that was stopped saw connections that closed without an answer, several at once: it was still serving when its grace was over, and was killed.

Leave added up its pauses, and stretched on a host that got little processor time. It returned as soon as nothing was in flight, with connections open and the listener accepting: what came after that fell into the end of the process. Where the load balancer goes on sending, since too few hosts are left, something always was in flight. Answers that other hosts had not taken yet did not count.

Now Leave refuses connections once the load balancer has had its time, closes those that are idle until none is left, and reads the clock. Nothing can come in after that.

--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -248,8 +248,7 @@
 	defaultGrace = 6 * clock.Second
 	// closeTime is what Leave leaves of the grace, for Close to give the requests that are
 	// still in flight a final answer.
-	closeTime         = clock.Second
-	leavePollInterval = 50 * time.Millisecond
+	closeTime = clock.Second
 )
 
 // leaveTime returns how long Leave waits for requests in flight, including balancerDelay.
@@ -258,31 +257,24 @@
 	return max(balancerDelay, (grace - closeTime).Duration())
 }
 
-// underWay returns the number of requests in flight and of connections whose callers are
-// still reading an answer.
-func (s *Server) underWay() int64 { return s.inFlight.Load() + int64(s.server.Unsent()) }
+// underWay returns the number of requests in flight and of connections whose callers, or other
+// hosts, are still reading an answer.
+func (s *Server) underWay() int64 {
+	return s.inFlight.Load() + int64(s.server.Unsent()+s.forwards.Unsent())
+}
 
-// Leave shuts down gracefully: it reports not ready, announces on each answer that the
-// connection closes, closes idle connections once the load balancer sends no new
-// callers, and returns when no request is in flight and all answers are sent, or after
-// leaveTime.
+// Leave shuts down gracefully: it reports not ready and announces on each answer that the
+// connection closes. Once the load balancer sends no new callers, it refuses connections and
+// closes those that are idle. It returns when no request is in flight and callers have no
+// connection any more, or after leaveTime.
 func (s *Server) Leave() {
 	start := time.Now()
-	var pauses pauseMeter
 	s.leaving.Store(true)
 	s.peers.leave()
 	s.logStop().Msg("leaving")
-	pauses.sleep(balancerDelay)
-	for waited := balancerDelay; waited < s.leaveTime(); waited += leavePollInterval {
-		// CloseIdle spares connections that had a request in the last 100 ms, so the
-		// loop makes a few rounds even if no request is in flight.
-		s.server.CloseIdle()
-		if s.underWay() == 0 && waited > balancerDelay+4*leavePollInterval {
-			break
-		}
-		pauses.sleep(leavePollInterval)
-	}
-	s.logStop().Int64("took-ms", time.Since(start).Milliseconds()).Int64("stood-still-ms", pauses.longest.Milliseconds()).Msg("left")
+	time.Sleep(time.Until(start.Add(balancerDelay)))
+	s.server.Drain(start.Add(s.leaveTime()), func() bool { return s.underWay() > 0 })
+	s.logStop().Int64("took-ms", time.Since(start).Milliseconds()).Msg("left")
 }
 
 // logStop returns a log line with what the host still has to do before it ends.
@@ -290,16 +282,6 @@
 	return s.Log.Info().Int64("under-way", s.underWay()).Int("connections", s.server.Conns()).Int("from-hosts", s.forwards.Conns())
 }
 
-// pauseMeter measures by how much sleeps were too long, which is how long the process stood
-// still.
-type pauseMeter struct{ longest time.Duration }
-
-func (p *pauseMeter) sleep(d time.Duration) {
-	start := time.Now()
-	time.Sleep(d)
-	p.longest = max(p.longest, time.Since(start)-d)
-}
-
 // Close stops everything and waits. Requests in flight get a final answer.
 func (s *Server) Close() error {
 	s.closeOnce.Do(func() { close(s.stop) })
