entry/front: drain connections before the end

Callers of an entry that was stopped lost the rest of an answer that they were still reading, and requests on their open connections.

Leave waited for handlers only. It uses the same end as the platform's host now.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -383,16 +383,14 @@
 	}
 }
 
-// Leave shuts down in order: it fails readiness, serves requests until the load
-// balancer has noticed, and waits for the requests in flight, at most drainTimeout.
+// Leave shuts down in order: it fails readiness and serves requests until the load balancer has
+// noticed. Then it refuses connections, closes those that are idle, and waits for the requests
+// in flight, at most drainTimeout.
 func (f *Front) Leave() {
 	f.leaving.Store(true)
 	f.Core.Leave()
 	time.Sleep(balancerDelay)
-	end := time.Now().Add(drainTimeout)
-	for time.Now().Before(end) && (f.inFlight.Load() > 0 || !f.Core.Idle()) {
-		time.Sleep(10 * time.Millisecond)
-	}
+	f.server.Drain(time.Now().Add(drainTimeout), func() bool { return f.inFlight.Load() > 0 || !f.Core.Idle() })
 }
 
 // Close stops listening and waits for the requests in flight.
