soak: shut hosts down in series, under idle connections

Few connections were idle when a host closed them, since callers pause for less than the 2.5 s before that. The check excused requests beside a fault that began after the close, and said nothing of requests that were lost on a connection of a host that stayed.

LOST now holds at any time, for requests that have reached a leaf.

--- a/soak/main.go
+++ b/soak/main.go
@@ -21,6 +21,7 @@
 	FaultTime time.Duration `arg:"--for" default:"20s" help:"time during which faults are injected"`
 	Hosts     int           `arg:"--hosts" default:"6" help:"number of hosts"`
 	Rate      int           `arg:"--rate" default:"60" help:"requests per second"`
+	Stops     bool          `arg:"--stops" help:"mostly shut hosts down, in series and under idle connections"`
 }
 
 type runCommand struct {
@@ -88,7 +89,7 @@
 func runSeeds(c sharedFlags, seeds []uint64) int {
 	failed := 0
 	for _, seed := range seeds {
-		s := runner.Settings{Bin: c.Bin, Dir: c.Dir, Seed: seed, FaultTime: c.FaultTime, Hosts: c.Hosts, Rate: c.Rate}
+		s := runner.Settings{Bin: c.Bin, Dir: c.Dir, Seed: seed, FaultTime: c.FaultTime, Hosts: c.Hosts, Rate: c.Rate, Stops: c.Stops}
 		report, err := runner.Run(s)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "soak: seed %d: %v\n", seed, err)
--- a/soak/runner/check.go
+++ b/soak/runner/check.go
@@ -85,9 +85,9 @@
 
 // checkRequest checks that an update runs at most once, and not at all if it got
 // a 503. It also checks requests without an answer, unless a fault of the host
-// explains them: the host must not hold one past its deadline, nor forward one and
-// then close its connection because it shuts down. Unless it shuts down, it must not close
-// a new connection without an answer.
+// explains them: the host must not hold one past its deadline, nor pass one on to a
+// leaf and then close its connection. Unless it shuts down, it must not close a new
+// connection without an answer.
 func (t *testbed) checkRequest(r *request, trace *requestTrace) {
 	update := strings.HasPrefix(r.path, "/set/")
 	if update && trace.runCount > 1 {
@@ -96,16 +96,21 @@
 	if update && r.status == http.StatusServiceUnavailable && trace.runCount > 0 {
 		t.results.addViolation("REFUSED: %s got status 503 but ran", r.id)
 	}
-	if r.status != 0 || r.cancelled || r.host.hadFaultDuring(r) {
+	if r.status != 0 || r.cancelled {
 		return
 	}
 	elapsed := r.ended.Sub(r.sent)
-	if elapsed > callerTimeout+lateTolerance/2 {
-		t.results.addViolation("HUNG: %s at %s got no answer in %s", r.id, r.host.name, elapsed)
+	hung := elapsed > callerTimeout+lateTolerance/2
+	// A fault that begins once the connection is closed explains nothing.
+	if len(trace.arrivals) > 0 && !hung && !r.host.hadFault(r.sent.Add(-time.Second), r.ended) {
+		t.results.addViolation("LOST: %s was passed on to a leaf by %s%s, and closed without an answer after %s", r.id, r.host.name, r.host.shutdownTime(r.ended), elapsed)
+	}
+	if r.host.hadFaultDuring(r) {
 		return
 	}
-	if trace.runCount > 0 && r.host.wasTerminating(r.sent, r.ended) {
-		t.results.addViolation("LOST: %s was forwarded by %s, which was shutting down, and closed without an answer after %s", r.id, r.host.name, elapsed)
+	if hung {
+		t.results.addViolation("HUNG: %s at %s got no answer in %s", r.id, r.host.name, elapsed)
+		return
 	}
 	// The connection was opened up to the dial timeout of one second before the request.
 	if !r.reused && !r.host.wasTerminating(r.sent.Add(-time.Second), r.ended) {
@@ -113,12 +118,31 @@
 	}
 }
 
+// hadFault reports whether a fault other than a termination affected the host within an
+// interval.
+func (h *host) hadFault(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return overlaps(h.faults, from, to)
+}
+
+// shutdownTime says how long after a SIGTERM to the host a time was. It is empty if the host
+// was not shutting down.
+func (h *host) shutdownTime(at time.Time) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.terminations {
+		if overlaps([]interval{s}, at.Add(-time.Second), at) {
+			return fmt.Sprintf(" (%s after SIGTERM)", at.Sub(s.from))
+		}
+	}
+	return ""
+}
+
 // hadFaultDuring reports whether a fault of the host explains that a request got
 // no answer.
 func (h *host) hadFaultDuring(r *request) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return overlaps(h.faults, r.sent.Add(-time.Second), r.ended.Add(time.Second))
+	return h.hadFault(r.sent.Add(-time.Second), r.ended.Add(time.Second))
 }
 
 // wasTerminating reports whether the host was shutting down after SIGTERM within
@@ -321,7 +345,12 @@
 	if len(r.Violations) == 0 {
 		return text + ", all promises kept"
 	}
-	return text + ", logs in " + r.Dir + "\n  " + strings.Join(r.Violations[:min(len(r.Violations), 12)], "\n  ")
+	counts := map[string]int{}
+	for _, v := range r.Violations {
+		rule, _, _ := strings.Cut(v, ":")
+		counts[rule]++
+	}
+	return text + fmt.Sprint(", broken ", counts) + ", logs in " + r.Dir + "\n  " + strings.Join(r.Violations[:min(len(r.Violations), 12)], "\n  ")
 }
 
 // ReadSeeds reads a file of seeds, one per line. The rest of a line is the cause of
--- a/soak/runner/fault.go
+++ b/soak/runner/fault.go
@@ -49,6 +49,9 @@
 			c.run(time.Second * time.Duration(callers) / time.Duration(t.Rate))
 		})
 	}
+	if t.Stops {
+		t.startKeepers()
+	}
 	time.Sleep(time.Until(t.startedAt.Add(warmUpTime)))
 	// Every third seed also sends harmful requests.
 	if t.Seed%3 == 0 {
@@ -83,25 +86,32 @@
 func (t *testbed) injectFaults() int {
 	end := t.startedAt.Add(warmUpTime + t.FaultTime)
 	meanInterval := float64(meanFaultInterval)
-	if t.Seed%2 == 0 {
+	kinds := faultKinds
+	if t.Stops {
+		kinds = stopFaultKinds
+	}
+	// A host that has just started has few idle connections.
+	if t.Stops || t.Seed%2 == 0 {
 		meanInterval *= calmIntervalFactor
 	}
 	n := 0
 	for time.Now().Before(end) {
 		duration := 300*time.Millisecond + time.Duration(t.rand.Int64N(int64(maxFaultTime)))
 		duration = min(duration, time.Until(end)+time.Second)
-		kind, draw := t.rand.IntN(len(faultKinds)), t.rand.Uint64()
-		t.wait.Go(func() { faultKinds[kind](t, draw, duration) })
+		kind, draw := t.rand.IntN(len(kinds)), t.rand.Uint64()
+		t.wait.Go(func() { kinds[kind](t, draw, duration) })
 		n++
 		time.Sleep(time.Duration(t.rand.ExpFloat64() * meanInterval))
 	}
 	return n
 }
 
-// faultKinds are the kinds of faults; one that is listed twice is drawn twice as
-// often. draw is a random number that chooses the target and the details of the
-// fault. A function returns when its fault has ended.
-var faultKinds = []func(t *testbed, draw uint64, duration time.Duration){
+// faultKind applies a fault and returns when it has ended. draw is a random number that
+// chooses the target and the details of the fault.
+type faultKind func(t *testbed, draw uint64, duration time.Duration)
+
+// faultKinds are the kinds of faults; one that is listed twice is drawn twice as often.
+var faultKinds = []faultKind{
 	(*testbed).kill, (*testbed).terminate, (*testbed).terminate, (*testbed).pause, (*testbed).reload,
 	(*testbed).failStore, (*testbed).compactStore, (*testbed).impairStoreLink, (*testbed).impairStoreLink,
 	(*testbed).degradeLeaves, (*testbed).degradeLeaves, (*testbed).degradeLeaves, (*testbed).impairLeafLinks, (*testbed).impairLeafLinks,
@@ -180,6 +190,13 @@
 	cmd := h.cmd
 	h.mu.Unlock()
 	ended := h.signal(syscall.SIGTERM, true)
+	h.mu.Lock()
+	close(h.shuttingDown)
+	h.shuttingDown = nil
+	h.mu.Unlock()
+	if t.Stops && draw>>8%2 == 0 {
+		t.wait.Go(func() { pulse(cmd.Process, rand.New(rand.NewPCG(t.Seed, draw)), ended) })
+	}
 	select {
 	case <-ended:
 		if code := cmd.ProcessState.ExitCode(); code != 0 {
--- a/soak/runner/testbed.go
+++ b/soak/runner/testbed.go
@@ -25,6 +25,9 @@
 	FaultTime time.Duration // how long faults are injected
 	Hosts     int           // number of hosts
 	Rate      int           // requests per second of all callers
+	// Stops replaces the faults by hosts that are shut down in series, under callers that keep
+	// idle connections to them.
+	Stops bool
 }
 
 const (
@@ -58,9 +61,10 @@
 	ended          chan struct{} // closed when the process has ended
 	shouldRun      bool          // an exit is unexpected: no fault is ending, or has ended, the process
 	ready          bool
-	terminations   []interval // from SIGTERM to the end of the process
-	faults         []interval // all other faults
-	staleIntervals []interval // faults that keep the host from receiving changes
+	shuttingDown   chan struct{} // closed, and set to nil, at SIGTERM
+	terminations   []interval    // from SIGTERM to the end of the process
+	faults         []interval    // all other faults
+	staleIntervals []interval    // faults that keep the host from receiving changes
 }
 
 type interval struct{ from, to time.Time }
@@ -157,6 +161,9 @@
 	l := &leaf{Leaf: &fake.Leaf{ID: fmt.Sprintf("i-%03d", t.lastLeafID), Service: service, Domain: domain}}
 	t.mu.Unlock()
 	l.OnHarmful = func() { t.onHarmful(l) }
+	if t.Stops {
+		l.Slots = keepingLeafSlots
+	}
 	if err := l.Start("127.0.0.1"); err != nil {
 		return err
 	}
@@ -230,6 +237,9 @@
 	}
 	defer func() { _ = logFile.Close() }() // the process has its own descriptor
 	cmd := exec.Command(t.Bin)
+	if t.Stops && t.Seed%4 == 0 {
+		cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, lowDescriptorLimit), t.Bin)
+	}
 	cmd.Env = append(os.Environ(), fake.SettingsVariable+"="+h.settings, "GOMAXPROCS=2")
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -238,7 +248,7 @@
 	}
 	ended := make(chan struct{})
 	h.mu.Lock()
-	h.cmd, h.ended, h.shouldRun = cmd, ended, true
+	h.cmd, h.ended, h.shouldRun, h.shuttingDown = cmd, ended, true, make(chan struct{})
 	h.mu.Unlock()
 	t.wait.Go(func() {
 		err := cmd.Wait()
