--- a/soak/runner/stop.go
+++ b/soak/runner/stop.go
@@ -22,8 +22,8 @@
 	maxAim = 2900 * time.Millisecond
 	// keepingLeafSlots is the number of slots of the leaves that keepers' requests go to.
 	keepingLeafSlots = 64
-	// lowDescriptorLimit is below what a host needs for its callers and leaves.
-	lowDescriptorLimit = 700
+	// lowDescriptorLimit is little more than a host needs for its callers and leaves.
+	lowDescriptorLimit = 400
 	// In a series, a host is shut down minStopInterval to maxStopInterval after the former.
 	minStopInterval = 200 * time.Millisecond
 	maxStopInterval = 2 * time.Second
