--- a/share/httpd/caller.go
+++ b/share/httpd/caller.go
@@ -89,7 +89,7 @@
 // pause returns for how long the caller has taken none of the bytes that are unsent. It must
 // be called at every sweep.
 func (p *progress) pause(caller *callerConn, now time.Time) time.Duration {
-	if sent := caller.sent.Load(); sent != p.sent || caller.unsent.Load() <= 0 {
+	if sent := caller.sent.Load(); p.at.IsZero() || sent != p.sent || caller.unsent.Load() <= 0 {
 		p.at, p.sent = now, sent
 	}
 	return now.Sub(p.at)
