--- a/share/fetch/client.go
+++ b/share/fetch/client.go
@@ -40,7 +40,8 @@
 }
 
 // doAndWait makes a call and waits for the reply. It returns an error marked with ErrConnLost
-// after the timeout or when the engine is closed; the call may still be in flight then.
+// after the timeout or when the engine is closed, then also with ErrClosed; the call may still
+// be in flight then.
 func (c *Conn) doAndWait(r *http.Request, timeout time.Duration) (Reply, error) {
 	type result struct {
 		reply Reply
@@ -52,11 +53,14 @@
 	defer timer.Stop()
 	select {
 	case got := <-results:
+		if got.err != nil && c.Engine.isClosed() {
+			return Reply{}, errors.Mark(got.err, ErrClosed)
+		}
 		return got.reply, got.err
 	case <-c.Engine.done:
 		// A connection that was opened while the engine stopped never gets a
 		// reply, and the library doesn't report it.
-		return Reply{}, errors.Mark(errors.New("client is closed"), ErrConnLost)
+		return Reply{}, errors.Mark(ErrClosed, ErrConnLost)
 	case <-timer.C:
 		return Reply{}, errors.Mark(errors.Newf("no reply within %s", timeout), ErrConnLost)
 	}
--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -30,6 +30,8 @@
 	// ErrConnLost is returned if an open connection was lost. The request may have
 	// arrived.
 	ErrConnLost = errors.New("connection was lost")
+	// ErrClosed is returned if the engine was closed before there was a reply.
+	ErrClosed = errors.New("client is closed")
 	// errInterim reports an interim reply (1xx), which no call here asks for.
 	errInterim = errors.New("interim reply")
 )
--- a/share/mirror/follow.go
+++ b/share/mirror/follow.go
@@ -165,7 +165,8 @@
 	}
 }
 
-// Close stops reading, waits for the read in progress and closes the connections.
+// Close stops reading, waits for the read in progress and closes the connections. A read ends
+// at once if its engine was closed before.
 func (f *Follower) Close() error {
 	close(f.stop)
 	f.done.Wait()
@@ -185,6 +186,9 @@
 		searching := f.searching
 		err := f.step()
 		f.searching = err != nil
+		if errors.Is(err, fetch.ErrClosed) {
+			return
+		}
 		select {
 		case <-f.stop:
 			return
@@ -215,6 +219,9 @@
 	f.selectSource()
 	started, wait := f.Clock.Now(), f.readWait()
 	page, err := f.read(wait)
+	if errors.Is(err, fetch.ErrClosed) {
+		return err // the process ends, which says nothing about the source
+	}
 	now := f.Clock.Now()
 	overdue := now - started - wait
 	switch {
