platform, daemon: keep running when the reader of the log goes away

Callers lost every answer in flight when the program that read a host's log ended: the host was killed by SIGPIPE at its next line.

A write to a closed standard output or error ends a Go program unless the signal is ignored. It is now; the lines are dropped, as they are for a reader that is too slow.

--- a/share/daemon/daemon.go
+++ b/share/daemon/daemon.go
@@ -71,6 +71,10 @@
 	}
 }
 
+// IgnoreClosedOutput keeps the process running after the reader of its log has gone away: a write
+// to standard output or error would end it with SIGPIPE.
+func IgnoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 // Env holds what a program needs to start.
 type Env struct {
 	Settings node.Settings
@@ -96,6 +100,7 @@
 // args, which embeds common.
 func Main(program string, args any, common *Arguments, start func(Env) (Service, error)) int {
 	arg.MustParse(args)
+	IgnoreClosedOutput()
 	settings, err := node.Load(common.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
