--- a/soak/runner/fault.go
+++ b/soak/runner/fault.go
@@ -53,8 +53,9 @@
 		t.startKeepers()
 	}
 	time.Sleep(time.Until(t.startedAt.Add(warmUpTime)))
-	// Every third seed also sends harmful requests.
-	if t.Seed%3 == 0 {
+	// Every third seed also sends harmful requests. Beside keepers, the leaves that they crash
+	// would be missing until the end.
+	if t.Seed%3 == 0 && !t.Stops {
 		t.wait.Go(t.sendHarmful)
 	}
 	faults := t.injectFaults()
