httpd: accept connections while they keep coming to a host that leaves

Where all hosts of a failure domain leave at once, the load balancer goes on sending callers to them.

Drain refuses connections once none has come for 0.25 s, or a second before its end, which is left for the requests that came last.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -384,8 +384,8 @@
 }
 
 // Leave shuts down in order: it fails readiness and serves requests until the load balancer has
-// noticed. Then it refuses connections, closes those that are idle, and waits for the requests
-// in flight, at most drainTimeout.
+// noticed. Then it closes connections, and waits for the requests in flight, at most
+// drainTimeout.
 func (f *Front) Leave() {
 	f.leaving.Store(true)
 	f.Core.Leave()
--- a/share/httpd/drain.go
+++ b/share/httpd/drain.go
@@ -2,28 +2,48 @@
 
 import "time"
 
-// drainPollInterval is how often Drain looks for connections that have become idle.
-const drainPollInterval = 50 * time.Millisecond
+const (
+	// drainPollInterval is how often Drain looks for connections that have become idle.
+	drainPollInterval = 50 * time.Millisecond
+	// quietTime is for how long no connection must have come before Drain refuses them: a load
+	// balancer that has no other host left goes on sending callers.
+	quietTime = 250 * time.Millisecond
+	// lastRequestTime is what Drain leaves for the requests that came last.
+	lastRequestTime = time.Second
+)
 
-// Drain refuses new connections and closes those that are idle, until none is left and busy, if
-// it is set, reports false, or until a point in time. It reports whether that is so; Close ends
-// what is left.
+// Drain closes connections that are idle. Once no more of them come, or lastRequestTime before a
+// point in time, it refuses new ones. It returns when none is left and busy, if it is set,
+// reports false, or at that time, and reports whether all are closed; Close ends those that are
+// left.
 func (s *Server) Drain(until time.Time, busy func() bool) bool {
 	start := time.Now()
 	stoodStill := time.Duration(0) // the longest time by which a pause was too long
-	if err := s.StopListening(); err != nil {
-		s.Log.Warn().Err(err).Str("address", s.Addr()).Msg("close-failed")
-	}
 	for {
 		s.CloseIdle()
-		done := s.Conns() == 0 && (busy == nil || !busy())
-		if done || time.Now().After(until) {
-			s.Log.Info().Str("address", s.Addr()).Bool("done", done).Int("connections", s.Conns()).
-				Int64("took-ms", time.Since(start).Milliseconds()).Int64("stood-still-ms", stoodStill.Milliseconds()).Msg("drained")
-			return done
+		now := time.Now()
+		if s.isQuiet(now) || now.After(until.Add(-lastRequestTime)) {
+			s.refuse()
+			done := s.Conns() == 0 && (busy == nil || !busy())
+			if done || now.After(until) {
+				s.Log.Info().Str("address", s.Addr()).Bool("done", done).Int("connections", s.Conns()).
+					Int64("took-ms", now.Sub(start).Milliseconds()).Int64("stood-still-ms", stoodStill.Milliseconds()).Msg("drained")
+				return done
+			}
 		}
-		paused := time.Now()
 		time.Sleep(drainPollInterval)
-		stoodStill = max(stoodStill, time.Since(paused)-drainPollInterval)
+		stoodStill = max(stoodStill, time.Since(now)-drainPollInterval)
+	}
+}
+
+// isQuiet reports whether no connection has come for quietTime.
+func (s *Server) isQuiet(now time.Time) bool {
+	return now.Sub(s.startedAt)-time.Duration(s.acceptedAt.Load()) >= quietTime
+}
+
+// refuse refuses new connections.
+func (s *Server) refuse() {
+	if err := s.StopListening(); err != nil {
+		s.Log.Warn().Err(err).Str("address", s.Addr()).Msg("close-failed")
 	}
 }
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -83,11 +83,14 @@
 	addr     net.Addr
 	listener net.Listener
 	refusing atomic.Bool // listener is closed
-	loops    evloop.Loops
-	waiting  atomic.Int32 // accepted connections that the engine does not have yet
-	conns    conns
-	limits   atomic.Pointer[Limits]
-	buffers  sync.Pool
+	// acceptedAt is when the last connection was accepted, as a time.Duration since startedAt.
+	acceptedAt atomic.Int64
+	startedAt  time.Time
+	loops      evloop.Loops
+	waiting    atomic.Int32 // accepted connections that the engine does not have yet
+	conns      conns
+	limits     atomic.Pointer[Limits]
+	buffers    sync.Pool
 	// pollers is how many event loops read connections; 0 takes the default.
 	pollers int
 	stop    chan struct{}
@@ -107,7 +110,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.Address)
 	}
-	s.listener, s.addr = ln, ln.Addr()
+	s.listener, s.addr, s.startedAt = ln, ln.Addr(), time.Now()
 	pollers := cmp.Or(s.pollers, defaultPollers)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "httpd", MaxLoad: s.maxConns(), MaxHTTPBodySize: readLimitBytes, ReadLimit: readLimitBytes,
@@ -153,6 +156,7 @@
 		s.loops.Prepare()
 		conn, err := s.listener.Accept()
 		if err == nil {
+			s.acceptedAt.Store(int64(time.Since(s.startedAt)))
 			err = s.addConn(conn)
 		}
 		if err == nil {
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -264,9 +264,9 @@
 }
 
 // Leave shuts down gracefully: it reports not ready and announces on each answer that the
-// connection closes. Once the load balancer sends no new callers, it refuses connections and
-// closes those that are idle. It returns when no request is in flight and callers have no
-// connection any more, or after leaveTime.
+// connection closes. Once the load balancer has had its time, it closes connections that are
+// idle, and refuses new ones when no more come. It returns when no request is in flight and
+// callers have no connection any more, or after leaveTime.
 func (s *Server) Leave() {
 	start := time.Now()
 	s.leaving.Store(true)
