--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 soak: build
 	@bin/soak hunt --first 1 --count 2 --for 8s
 	@bin/soak replay --for 12s
+	@bin/soak replay --stops --seeds soak/stop-seeds.txt --for 12s
 
 # Renames a Go identifier with all its uses: make rename AT=FILE:LINE:COLUMN TO=NAME
 rename:
