fetch: lose successful replies that do not tell one length

A reader of the operators' files took a reply that had no length for "no change", and one with two lengths for a whole file.

Replies that are cut off at any byte of head or body are lost there as well; that test stays as a guard.

--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -32,6 +32,9 @@
 	ErrConnLost = errors.New("connection was lost")
 	// errInterim reports an interim reply (1xx), which no call here asks for.
 	errInterim = errors.New("interim reply")
+	// errNoLength reports a successful reply that does not tell its length, or several. The
+	// library ends the first after its head, and takes the first length of the second.
+	errNoLength = errors.New("reply without one length")
 )
 
 // DefaultDialTimeout bounds the time to open a connection unless a Conn sets another one.
@@ -267,11 +270,16 @@
 	if res.StatusCode < http.StatusOK {
 		return Reply{}, errors.Mark(errInterim, ErrConnLost)
 	}
+	if res.Body != nil {
+		defer func() { _ = res.Body.Close() }() // what is needed of the body is read by then
+	}
+	if !hasOneLength(res) {
+		return Reply{}, errors.Mark(errNoLength, ErrConnLost)
+	}
 	reply := Reply{Status: res.StatusCode, Header: res.Header}
 	if res.Body == nil {
 		return reply, nil
 	}
-	defer func() { _ = res.Body.Close() }() // the body is read to its end below
 	reply.Body, err = io.ReadAll(io.LimitReader(res.Body, MaxReplyBytes+1))
 	if err != nil {
 		return Reply{}, errors.Mark(errors.Wrap(err, "read reply"), ErrConnLost)
@@ -282,6 +290,21 @@
 	return reply, nil
 }
 
+// hasOneLength reports whether a reply tells how long its body is. Only successful ones must:
+// the bodies of others are not used.
+func hasOneLength(res *http.Response) bool {
+	if res.StatusCode == http.StatusNoContent || res.StatusCode >= http.StatusMultipleChoices || len(res.Header["Transfer-Encoding"]) > 0 {
+		return true // the library accepts chunks only
+	}
+	lengths := res.Header["Content-Length"]
+	for _, length := range lengths {
+		if length != lengths[0] {
+			return false
+		}
+	}
+	return len(lengths) > 0
+}
+
 // Close closes the connection. A call in flight ends with ErrConnLost, or with ErrNotOpened
 // if the connection was not open yet. Close must not be called from within done.
 func (c *Conn) Close() {
