httpc: break replies without a length that are reset

Callers got 200 with a part of the leaf's body, framed as whole, if the leaf replied without a length before it had read a large body and reset the connection within its reply.

Cause: a socket reports a reset only once. The write of the request's body took it, and the read of the reply found an orderly end.

Change: when a reply without a length has ended, the state of the connection tells whether it was reset.

--- a/share/httpc/conn.go
+++ b/share/httpc/conn.go
@@ -26,6 +26,8 @@
 	// ErrIdleClosed reports a connection that was closed, or carried bytes, while
 	// no call was active on it.
 	ErrIdleClosed = errors.New("connection ended while idle")
+	// ErrReset reports a reply without a length whose connection was reset.
+	ErrReset = errors.New("connection was reset within the reply")
 )
 
 const (
@@ -209,6 +211,9 @@
 		return result{err: errors.Wrap(err, "read reply")}
 	}
 	_ = res.Body.Close() // it has been read
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && c.isReset() {
+		return result{err: ErrReset}
+	}
 	id := res.Header.Get(c.dialect.RequestID)
 	if id != "" && id != request.Header.Get(c.dialect.RequestID) {
 		return result{err: ErrWrongRequestID}
--- a/share/httpc/unacked.go
+++ b/share/httpc/unacked.go
@@ -40,6 +40,21 @@
 	return info, errors.CombineErrors(err, optErr)
 }
 
+// isReset reports whether a connection that has ended was reset, and not closed in order. A
+// socket reports its reset only once, which may be to a write, and after that an orderly end.
+func (c *conn) isReset() bool {
+	socket, ok := c.net.(syscall.Conn)
+	if !ok {
+		return false // not of TCP
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true // closed by this host
+	}
+	info, err := tcpInfo(raw)
+	return err != nil || info.State == unix.BPF_TCP_CLOSE
+}
+
 // isUnacked reports whether a peer has left data, or probes of its full buffer, without an
 // acknowledgement for unackedTimeout.
 func isUnacked(info *unix.TCPInfo) bool {
