--- a/share/httpc/fuzz_test.go
+++ b/share/httpc/fuzz_test.go
@@ -16,6 +16,10 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nLeaf-Stamp: s\r\nContent-Length: 2\r\n\r\nab"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nLeaf-Stamp: s\r\n\r\nHTTP/1.1 200 OK\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	for _, whole := range wholeReplies() {
+		f.Add([]byte(whole[:len(whole)/2]))
+		f.Add([]byte(whole[:len(whole)-1]))
+	}
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		local, remote := net.Pipe()
 		c := newConn(local, &DefaultDialect, &quota.Bytes{})
