mirror: bound the size of the changes that are kept

A host's memory grew by each former value of a large key that was written again and again, up to 4,000 of them, and no other host could read a page of these changes.

Cause: the history was bounded by number only.

--- a/share/mirror/mirror.go
+++ b/share/mirror/mirror.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"dandelionstile/share/clock"
+	"dandelionstile/share/fetch"
 )
 
 // Item is one key and its value; a deleted item has no value.
@@ -19,6 +20,9 @@
 	Deleted bool
 }
 
+// size returns the memory that an item takes, in bytes.
+func (i *Item) size() int { return len(i.Key) + len(i.Value) + itemCost }
+
 // Page is the result of one read.
 type Page struct {
 	Items []Item
@@ -36,9 +40,14 @@
 // hasChanges reports whether the page tells its reader anything but its age.
 func (p *Page) hasChanges() bool { return p.Whole || len(p.Items) > 0 }
 
-// maxHistory is how many changes are kept for other hosts; a host that is further
-// behind gets a full page.
-const maxHistory = 4000
+const (
+	// maxHistory is how many changes are kept for other hosts; a host that is further
+	// behind gets a full page.
+	maxHistory = 4000
+	// maxHistoryBytes bounds the size of these changes. A value that is written again and again
+	// must not fill the memory, nor a page beyond what its reader takes in one reply.
+	maxHistoryBytes = fetch.MaxReplyBytes * 3 / 4
+)
 
 // Mirror is one host's copy of the store. The zero value is empty. It is safe for
 // concurrent use.
@@ -46,6 +55,7 @@
 	mu           sync.Mutex
 	items        map[string][]byte
 	history      []change
+	historyBytes int
 	historyStart int64 // changes after this revision are in history
 	revision     int64
 	asOf         clock.Milli   // when the store was last reached
@@ -84,12 +94,23 @@
 	for _, i := range p.Items {
 		m.set(i)
 		m.history = append(m.history, change{p.Revision, i})
+		m.historyBytes += i.size()
 	}
-	if excess := len(m.history) - maxHistory; excess > 0 {
+	m.trimHistory()
+	m.revision = max(m.revision, p.Revision)
+}
+
+// trimHistory drops the oldest changes beyond maxHistory and maxHistoryBytes.
+func (m *Mirror) trimHistory() {
+	excess := 0
+	for len(m.history)-excess > maxHistory || m.historyBytes > maxHistoryBytes {
+		m.historyBytes -= m.history[excess].item.size()
+		excess++
+	}
+	if excess > 0 {
 		m.historyStart = m.history[excess-1].revision
 		m.history = append([]change(nil), m.history[excess:]...)
 	}
-	m.revision = max(m.revision, p.Revision)
 }
 
 // setSteadySince sets the time since which the copy has been fresh.
@@ -105,7 +126,7 @@
 	for _, i := range p.Items {
 		m.set(i)
 	}
-	m.history = nil
+	m.history, m.historyBytes = nil, 0
 	m.historyStart, m.revision = p.Revision, p.Revision
 }
 
--- a/share/mirror/peer.go
+++ b/share/mirror/peer.go
@@ -109,7 +109,7 @@
 func (p *Page) Size() int {
 	size := 0
 	for i := range p.Items {
-		size += len(p.Items[i].Key) + len(p.Items[i].Value) + itemCost
+		size += p.Items[i].size()
 	}
 	return size
 }
