--- a/share/conf/conf.go
+++ b/share/conf/conf.go
@@ -130,6 +130,9 @@
 // invalid.
 func Decode(file string, body []byte, target any) (Source, error) {
 	src := Source{File: file, body: body}
+	if err := checkDepth(file, body); err != nil {
+		return src, err
+	}
 	tree, err := parser.ParseBytes(body, 0)
 	if err != nil {
 		return src, Faults{yamlFault(file, err)}
