httpc: stop using connections that another host is about to close

A request was forwarded on a connection that the other host closed as idle at that moment. It may have run, its answer was lost, and the call counted as broken.

A host closes connections of other hosts after two minutes without a request. Its replies do not announce that time, and connections opened ahead of use have had no reply, so the pool used a connection however long it had been idle. It now stops using a connection to another host at that time less the margin that it keeps for leaves, counted from when the connection was opened or last used. httpd exports the default, which is the one that the server of forwarded requests has.

--- a/share/httpc/pool.go
+++ b/share/httpc/pool.go
@@ -15,6 +15,7 @@
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
 	"dandelionstile/share/fetch"
+	"dandelionstile/share/httpd"
 	"dandelionstile/share/quota"
 	"dandelionstile/share/router"
 )
@@ -95,6 +96,9 @@
 // maxSpareConns bounds the idle connections opened ahead to another host.
 const maxSpareConns = 2
 
+// hostIdleTimeout is when another host closes an idle connection. Its replies do not say so.
+const hostIdleTimeout = clock.Milli(httpd.DefaultIdleTimeout / time.Millisecond)
+
 // Preconnect opens a connection to another host if few are idle, which saves the
 // next forwarded request a round trip.
 func (p *Pool) Preconnect(address string) {
@@ -113,7 +117,7 @@
 		p.opening[address]--
 		p.mu.Unlock()
 		if err == nil {
-			p.putIdle(address, newConn(netConn, &p.Dialect, &p.Memory), 0) // its idle timeout is unknown
+			p.putIdle(address, newConn(netConn, &p.Dialect, &p.Memory), hostIdleTimeout)
 		}
 		// An unreachable host is detected by the next request.
 	})
@@ -341,7 +345,11 @@
 		keep = false // the body is not fully written
 	}
 	if keep {
-		p.putIdle(leaf, c, r.idleTimeout)
+		idleTimeout := r.idleTimeout
+		if isForwarded(j.request) && (idleTimeout == 0 || idleTimeout > hostIdleTimeout) {
+			idleTimeout = hostIdleTimeout
+		}
+		p.putIdle(leaf, c, idleTimeout)
 	} else {
 		c.close()
 	}
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -25,7 +25,8 @@
 const (
 	defaultMaxHeaderBytes = 64 << 10
 	defaultStallTimeout   = 10 * time.Second
-	defaultIdleTimeout    = 2 * time.Minute
+	// DefaultIdleTimeout also applies to the connections between hosts.
+	DefaultIdleTimeout = 2 * time.Minute
 	// maxTimeout keeps the multiples of a timeout within the range of their type.
 	maxTimeout = 365 * 24 * time.Hour
 )
@@ -43,7 +44,7 @@
 		l.StallTimeout = defaultStallTimeout
 	}
 	if l.IdleTimeout <= 0 {
-		l.IdleTimeout = defaultIdleTimeout
+		l.IdleTimeout = DefaultIdleTimeout
 	}
 	l.StallTimeout, l.IdleTimeout = min(l.StallTimeout, maxTimeout), min(l.IdleTimeout, maxTimeout)
 	l.ReadPause = max(l.ReadPause, l.IdleTimeout, minReadPause)
