httpc: make calls again whose idle connection ended before the write

A leaf closed an idle connection just after a call had taken it. Nothing was sent, but the call counted as one that may have run: a request that is not idempotent got 502 instead of another leaf, and other requests paid for a retry.

The result of the read was all that counted, whether or not the write before it had begun. Now the number of bytes that the socket took decides. If it took none, because the connection had been closed by then, the call takes the next idle connection or opens one, so that the leaf does not count as unhealthy for closing idle connections; Forget withdraws it in between. If it took any, the call stays broken: it may have run. A write that the socket takes after the leaf has closed its end is one of these.

--- a/share/httpc/conn.go
+++ b/share/httpc/conn.go
@@ -26,6 +26,8 @@
 	// ErrIdleClosed reports a connection that was closed, or carried bytes, while
 	// no call was active on it.
 	ErrIdleClosed = errors.New("connection ended while idle")
+	// errNothingWritten marks the error of a write of which the socket took no byte.
+	errNothingWritten = errors.New("nothing was written")
 )
 
 const (
@@ -237,7 +239,7 @@
 }
 
 // write sends a request. It writes the target byte for byte, since net/http's own
-// writer would normalise it.
+// writer would normalise it. Its error is marked with errNothingWritten if that is so.
 func (c *conn) write(request *http.Request, target string, body []byte) error {
 	var b bytes.Buffer
 	b.WriteString(request.Method)
@@ -251,6 +253,10 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(body)
-	_, err := c.net.Write(b.Bytes())
-	return errors.Wrap(err, "send request")
+	n, err := c.net.Write(b.Bytes())
+	err = errors.Wrap(err, "send request")
+	if err != nil && n == 0 {
+		return errors.Mark(err, errNothingWritten)
+	}
+	return err
 }
--- a/share/httpc/pool.go
+++ b/share/httpc/pool.go
@@ -56,6 +56,8 @@
 	cancel context.CancelFunc
 	// sent is set before the request is sent; a call that was cancelled by then sends none.
 	sent bool
+	// forgotten is set when the leaf gets no more requests.
+	forgotten bool
 }
 
 // Send starts a call to a leaf.
@@ -203,7 +205,11 @@
 	list := p.idle[leaf]
 	delete(p.idle, leaf)
 	for _, active := range p.calls {
-		if active.leaf == leaf && !active.sent {
+		if active.leaf != leaf {
+			continue
+		}
+		active.forgotten = true
+		if !active.sent {
 			active.cancel()
 		}
 	}
@@ -225,6 +231,18 @@
 	return true
 }
 
+// markUnsent records that nothing of a call's request was written. The call is cancelled if its
+// leaf has been forgotten meanwhile.
+func (p *Pool) markUnsent(id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	active := p.calls[id]
+	active.sent = false
+	if active.forgotten {
+		active.cancel()
+	}
+}
+
 // Close cancels all calls, closes all connections and waits for them to end. Calls that
 // it cancels are not reported.
 func (p *Pool) Close() error {
@@ -263,29 +281,47 @@
 	}
 }
 
-// call makes one call over an idle or a new connection.
+// call makes one call over an idle or a new connection. An idle connection may end before
+// anything is written to it; the call then takes another one.
 func (p *Pool) call(ctx context.Context, send router.Send, request *http.Request) router.CallDone {
-	j := &job{request: request, stampOptional: isForwarded(request), done: make(chan result, 1)}
-	c := p.takeIdle(send.Leaf, j)
-	if c == nil {
-		dialedAt := p.Clock.Now()
-		netConn, err := p.dial(ctx, send.Address)
-		if err != nil {
-			return dialFailure(ctx, err)
+	for {
+		j := &job{request: request, stampOptional: isForwarded(request), done: make(chan result, 1)}
+		c := p.takeIdle(send.Leaf, j)
+		wasIdle := c != nil
+		if !wasIdle {
+			var failed router.CallDone
+			if c, failed = p.open(ctx, send, j); c == nil {
+				return failed
+			}
 		}
-		c = newConn(netConn, &p.Dialect, &p.Memory)
-		if send.AwaitRejection && c.awaitReset((p.Clock.Now() - dialedAt).Duration()) {
-			return router.CallDone{Kind: call.Full, Cause: "the leaf ended a new connection"}
+		if !p.markSent(ctx, send.Call) {
+			c.close()
+			return router.CallDone{Kind: call.Withdrawn, Cause: "not sent yet"}
 		}
-		if !c.begin(j) {
-			return router.CallDone{Kind: call.NotSent, Cause: ErrIdleClosed.Error()}
+		done := p.exchange(ctx, c, j, send)
+		if !wasIdle || done.Kind != call.NotSent {
+			return done
 		}
+		p.markUnsent(send.Call)
 	}
-	if !p.markSent(ctx, send.Call) {
-		c.close()
-		return router.CallDone{Kind: call.Withdrawn, Cause: "not sent yet"}
+}
+
+// open opens a connection and assigns a call to it. It returns nil and the result of the call
+// if that fails.
+func (p *Pool) open(ctx context.Context, send router.Send, j *job) (*conn, router.CallDone) {
+	dialedAt := p.Clock.Now()
+	netConn, err := p.dial(ctx, send.Address)
+	if err != nil {
+		return nil, dialFailure(ctx, err)
+	}
+	c := newConn(netConn, &p.Dialect, &p.Memory)
+	if send.AwaitRejection && c.awaitReset((p.Clock.Now() - dialedAt).Duration()) {
+		return nil, router.CallDone{Kind: call.Full, Cause: "the leaf ended a new connection"}
+	}
+	if !c.begin(j) {
+		return nil, router.CallDone{Kind: call.NotSent, Cause: ErrIdleClosed.Error()}
 	}
-	return p.exchange(ctx, c, j, send)
+	return c, router.CallDone{}
 }
 
 // dialFailure classifies a failed dial: Withdrawn if the call was cancelled, Full if the
@@ -331,15 +367,23 @@
 const inlineBodyBytes = 4 << 10
 
 // completeCall handles the result of a call: it keeps the connection for further calls if
-// possible, or closes it, and classifies the reply.
+// possible, or closes it, and classifies the reply. A call of which nothing was written is not
+// sent; once the socket has taken a byte, it may have run.
 func (p *Pool) completeCall(c *conn, leaf string, j *job, r result, written chan error) router.CallDone {
 	if r.err != nil {
-		c.close()
+		c.close() // ends the write
+		if errors.Is(<-written, errNothingWritten) {
+			return router.CallDone{Kind: call.NotSent, Cause: ErrIdleClosed.Error()}
+		}
 		return router.CallDone{Kind: call.Broken, Cause: shortError(r.err)}
 	}
 	keep := r.keep
 	select {
 	case err := <-written:
+		if errors.Is(err, errNothingWritten) { // not a reply to this request
+			c.close()
+			return router.CallDone{Kind: call.NotSent, Cause: ErrIdleClosed.Error()}
+		}
 		keep = keep && err == nil
 	default:
 		keep = false // the body is not fully written
