httpd: show that Close loses answers to rejected requests

A request over the limits, or beyond the memory, is answered by a job on its connection. Close looks at requests that were read whole and at unsent bytes only, finds neither, and closes the connection before the status is written.

--- /dev/null
+++ b/share/httpd/ending_test.go
@@ -0,0 +1,48 @@
+package httpd
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// Close ends a connection whose request was rejected and whose status is not written yet. The
+// caller got no answer.
+func TestCloseLosesAnswersToRejectedRequests(t *testing.T) {
+	d := startDrain(t)
+	d.SetLimits(Limits{MaxHeaderBytes: 1 << 10})
+	c := dial(t, d.Server)
+	c.send(t, "/")
+	_, err := c.receive()
+	assert.NilError(t, err)
+	end := d.serverSide(c.conn).(*nbio.Conn)
+	write := make(chan struct{})
+	assert.Assert(t, end.Execute(func() { <-write })) // the status is written after it
+	release := sync.OnceFunc(func() { close(write) })
+	t.Cleanup(release)
+	_, err = io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("a", 2*readBufferBytes))
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		d.conns.mu.Lock()
+		defer d.conns.mu.Unlock()
+		if o := d.conns.find(end); o == nil || o.rejectedAt.IsZero() {
+			return poll.Continue("the request is not rejected")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	closed := d.startClose(t)
+	waitAtMost(func() bool { return isClosed(end) })
+	release()
+	res, err := http.ReadResponse(c.reader, nil)
+	<-closed
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+}
