httpd: show that Close cuts off the answers of late handlers

The time that callers have to take their answers counts from the beginning of Close. The answer of a handler that returns after it, and that the sockets do not take at once, gets none: the next pass closes its connection. By reading, the front of an entry closes while handlers may still have minutes of their budget; a host has it if it stands still in Close.

--- a/share/httpd/ending_test.go
+++ b/share/httpd/ending_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -46,3 +47,22 @@
 	assert.NilError(t, res.Body.Close())
 	assert.Equal(t, res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 }
+
+// A handler returns later than closeLinger after Close. Its caller got no time to read the answer,
+// and a part of it.
+func TestCloseCutsOffAnswersOfLateHandlers(t *testing.T) {
+	d := startDrain(t)
+	c := dial(t, d.Server)
+	const size = 16 << 20 // more than the sockets take
+	c.send(t, "/held?bytes="+strconv.Itoa(size))
+	poll.WaitOn(t, d.hasInFlight(1), poll.WithDelay(time.Millisecond))
+	end := d.serverSide(c.conn).(*nbio.Conn)
+	closed := d.startClose(t)
+	time.Sleep(closeLinger + settle)
+	d.answer()
+	waitAtMost(func() bool { return isClosed(end) })
+	n, err := c.receive()
+	<-closed
+	assert.NilError(t, err, "after %d bytes of %d", n, size)
+	assert.Equal(t, n, int64(size))
+}
