httpd: show that a connection that is being added is not counted

addConn takes a connection from waiting before the engine reports it as open. Drain and Close find no connection in between. Close then skips its rounds, lets the event loop add the connection and read its request, and stops the engine while the handler runs: the caller gets FIN without an answer. Conns reads the two counts in an order that misses a connection which goes from one to the other.

The moment is short, and as long as a standstill in it.

--- a/share/httpd/ending_test.go
+++ b/share/httpd/ending_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,3 +68,56 @@
 	assert.NilError(t, err, "after %d bytes of %d", n, size)
 	assert.Equal(t, n, int64(size))
 }
+
+// holdAdd makes a server hold a connection that its event loop is adding until add is called.
+// adding is closed once it holds it.
+func (d *drainServer) holdAdd(t *testing.T) (adding <-chan struct{}, add func()) {
+	t.Helper()
+	begun, gate := make(chan struct{}), make(chan struct{})
+	add = sync.OnceFunc(func() { close(gate) })
+	t.Cleanup(add)
+	d.loops.Release(syscall.EMFILE) // connections have no confirmed descriptor
+	d.engine.OnOpen(func(c net.Conn) {
+		close(begun)
+		<-gate
+		d.conns.add(c)
+	})
+	return begun, add
+}
+
+// An event loop is adding a connection when a server closes. Close took it that no connection was
+// open. The request was handled and its caller got no answer.
+func TestCloseLosesRequestsOnConnectionBeingAdded(t *testing.T) {
+	d := startDrain(t)
+	adding, add := d.holdAdd(t)
+	c := dial(t, d.Server)
+	c.send(t, "/held")
+	<-adding
+	closed := d.startClose(t)
+	time.Sleep(settle) // until Close waits
+	add()
+	waitAtMost(func() bool { return d.began.Load() > 0 })
+	waitAtMost(func() bool { return d.Conns() == 0 })
+	began := d.began.Load()
+	d.answer()
+	_, err := c.receive()
+	<-closed
+	if began > 0 {
+		assert.NilError(t, err, "the answer of a request that was handled")
+	}
+}
+
+// An event loop is adding a connection when a server drains. Drain took it that no connection was
+// open, so that the process ended before the request was read.
+func TestDrainMissesConnectionBeingAdded(t *testing.T) {
+	d := startDrain(t)
+	adding, add := d.holdAdd(t)
+	c := dial(t, d.Server)
+	c.send(t, "/")
+	<-adding
+	done := d.Drain(time.Now().Add(settle), nil)
+	add()
+	_, err := c.receive()
+	assert.NilError(t, err)
+	assert.Assert(t, !done, "Drain reports that no connection is open")
+}
