httpd: show that Close drops requests that it reads

While an answer is due, Close has its connection's bytes read and dropped. A caller that sends its next request before it has that answer, or whose answer was begun before Close and does not say "Connection: close", sees a request that the server has read whole end with the connection.

--- a/share/httpd/ending_test.go
+++ b/share/httpd/ending_test.go
@@ -121,3 +121,28 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !done, "Drain reports that no connection is open")
 }
+
+// A caller sends its next request while a server closes and the answer to the former one is due. The
+// request was read whole, dropped, and got no answer.
+func TestCloseDropsRequestsThatItReads(t *testing.T) {
+	d := startDrain(t)
+	c := dial(t, d.Server)
+	c.send(t, "/held")
+	poll.WaitOn(t, d.hasInFlight(1), poll.WithDelay(time.Millisecond))
+	end := d.serverSide(c.conn).(*nbio.Conn)
+	closed := d.startClose(t)
+	time.Sleep(settle) // until Close waits
+	c.send(t, "/")
+	time.Sleep(settle) // until the request has crossed loopback
+	d.conns.mu.Lock()
+	read := !d.conns.find(end).hasUnread()
+	d.conns.mu.Unlock()
+	d.answer()
+	_, err := c.receive()
+	assert.NilError(t, err)
+	_, err = c.receive()
+	<-closed
+	if read {
+		assert.NilError(t, err, "the answer of a request that was read")
+	}
+}
