httpd: show that CloseIdle takes a part of a pipelined request for none

CloseIdle spares connections with a part of a request. If that part was in the same read as the end of the former request, recordRequestRead clears it, and the connection counts as idle: the caller's connection ends while it sends the rest. The idle timeout applies instead of the stall timeout for the same reason. The request was not read whole.

--- a/share/httpd/ending_test.go
+++ b/share/httpd/ending_test.go
@@ -122,6 +122,25 @@
 	assert.Assert(t, !done, "Drain reports that no connection is open")
 }
 
+// A part of a request arrives together with the request before it. CloseIdle took the connection as
+// idle and closed it while the caller was sending the rest.
+func TestIdleCloseLosesPartOfPipelinedRequest(t *testing.T) {
+	d := startDrain(t)
+	c := dial(t, d.Server)
+	_, err := io.WriteString(c.conn, plainRequest+"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = c.receive()
+	assert.NilError(t, err)
+	end := d.serverSide(c.conn).(*nbio.Conn)
+	time.Sleep(2 * idleGrace) // until the connection would count as idle
+	d.CloseIdle()
+	waitAtMost(func() bool { return isClosed(end) })
+	_, err = io.WriteString(c.conn, "body")
+	assert.NilError(t, err)
+	_, err = c.receive()
+	assert.NilError(t, err)
+}
+
 // A caller sends its next request while a server closes and the answer to the former one is due. The
 // request was read whole, dropped, and got no answer.
 func TestCloseDropsRequestsThatItReads(t *testing.T) {
