daemon: show that a signal ends a program that closes

awaitShutdown gives the signals back when the service has left, or at the second one, which is meant to end the wait only. Close still waits for requests then. The next signal kills the process, with those requests.

--- a/share/daemon/daemon_test.go
+++ b/share/daemon/daemon_test.go
@@ -31,6 +31,12 @@
 		stopSelf()
 		return newService(func() error { return nil }), nil
 	},
+	"TestSignalDuringCloseEndsTheProcess": func(Env) (Service, error) {
+		return newService(func() error {
+			stopSelf()
+			return nil
+		}), nil
+	},
 }
 
 // newService returns a service that sends SIGTERM to its process until Leave is called.
@@ -80,3 +86,7 @@
 // A program gets SIGTERM while it starts and serves callers already. It was killed, and their
 // requests got no answer.
 func TestSignalDuringStartEndsTheProcess(t *testing.T) { runProgram(t) }
+
+// A program that has left gets another SIGTERM while it closes. It was killed, and the callers that
+// Close waits for got no answer.
+func TestSignalDuringCloseEndsTheProcess(t *testing.T) { runProgram(t) }
