httpd: count connections that are being added

A caller whose connection was being added when its host ended got no answer to a request that was handled.

A connection stopped to count as waiting before it counted as open, so that Drain and Close found none. It counts as waiting until the engine has it, and those that wait are counted first.

--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -179,7 +179,7 @@
 	}
 	s.waiting.Add(1)
 	err := s.loops.Add(conn, func(c *nbio.Conn) {
-		s.waiting.Add(-1)
+		defer s.waiting.Add(-1) // conns counts it by then
 		s.conns.beginAdd(c)
 		defer s.conns.endAdd(c)
 		s.engine.AddConnNonTLSNonBlocking(&nbhttp.Conn{Conn: c}, nil, func() {})
@@ -363,7 +363,10 @@
 }
 
 // Conns returns the number of open connections.
-func (s *Server) Conns() int { return s.conns.count() + int(s.waiting.Load()) }
+func (s *Server) Conns() int {
+	waiting := int(s.waiting.Load()) // before conns, to which those that wait go
+	return waiting + s.conns.count()
+}
 
 // StopListening refuses new connections from now on. Close does so too.
 func (s *Server) StopListening() error {
