httpd: let Close write the answers to rejected requests

Callers whose request was outside the limits as the host ended saw their connection closed without the status, which promises that the request has not run.

A rejected request counts until it is answered, and Close gives its caller the same time as others to take the answer.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -50,9 +50,10 @@
 	// the context of the request that is being handled.
 	peerClosed bool
 	cancel     context.CancelFunc
-	// rejectedAt is when an incomplete request was rejected. Bytes that arrive
-	// after it are discarded.
+	// rejectedAt is when an incomplete request was rejected, or when that was answered. Bytes
+	// that arrive after it are discarded. rejecting is set until the answer is written.
 	rejectedAt time.Time
+	rejecting  bool
 	// ending is set if no further request is read, since the server closes.
 	ending bool
 	// closeCause is why this host has closed the connection at closedAt, if it has.
@@ -205,17 +206,17 @@
 		status = http.StatusServiceUnavailable
 	}
 	if status != 0 {
-		o.rejectedAt = now
+		o.rejectedAt, o.rejecting = now, true
 	}
 	return status, status == 0
 }
 
-// recordRejected records that a rejected request is being answered: rejectLinger begins.
+// recordRejected records that a rejected request has been answered: rejectLinger begins.
 func (c *conns) recordRejected(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if o := c.find(conn); o != nil {
-		o.rejectedAt = time.Now()
+		o.rejectedAt, o.rejecting = time.Now(), false
 	}
 }
 
@@ -293,7 +294,7 @@
 func (c *conns) closeUnused(owns func(net.Conn) bool, final bool) {
 	c.closeAll(owns, causeStop, func(o *openConn, _ time.Time) bool {
 		switch {
-		case o.requests > 0, o.hasUnsent() && !final:
+		case o.requests > 0, o.rejecting, (o.hasUnsent() || !o.rejectedAt.IsZero()) && !final:
 			o.ending = true
 			return false
 		case o.ending, final:
@@ -303,12 +304,12 @@
 	})
 }
 
-// handling reports whether a request has been read and not answered yet.
+// handling reports whether a request has been read, or rejected, and not answered yet.
 func (c *conns) handling() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range c.open {
-		if o.requests > 0 {
+		if o.requests > 0 || o.rejecting {
 			return true
 		}
 	}
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -308,10 +308,10 @@
 func (s *Server) reject(conn *nbio.Conn, status int) {
 	s.reportRejected(conn.RemoteAddr().String(), status)
 	conn.Execute(func() {
-		s.conns.recordRejected(conn)
 		if caller := callerOf(conn); caller != nil {
 			_, _ = caller.Write(errorResponse(status)) // the caller may have disconnected
 		}
+		s.conns.recordRejected(conn)
 	})
 }
 
--- a/share/httpd/limits.go
+++ b/share/httpd/limits.go
@@ -121,7 +121,7 @@
 		pause = o.progress.pause(o.caller, now)
 	}
 	switch {
-	case o.requests > 0:
+	case o.requests > 0, o.rejecting:
 		return keepOpen
 	case o.hasUnsent():
 		if pause > l.ReadPause {
@@ -188,7 +188,7 @@
 	action, cause := c.nextAction(o, l, now), causeIdle
 	switch action {
 	case rejectTimedOut:
-		o.rejectedAt = now
+		o.rejectedAt, o.rejecting = now, true
 	case closeConn:
 		if o.hasUnsent() {
 			cause = causeUnread
