httpd: reject what follows in Close, and let each caller take its last answer

A caller that had sent its next request before it had an answer, as the host ended, saw that request read and its connection closed. A caller whose handler returned late in Close got a part of a large answer.

Close had the bytes of further requests read and dropped, and the time to take an answer counted from the beginning of Close. Now such a request gets 503, since it has not run, and the time counts for each connection from its last answer; it is 0.25 s, so that what follows fits into the grace.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -54,8 +54,10 @@
 	// that arrive after it are discarded. rejecting is set until the answer is written.
 	rejectedAt time.Time
 	rejecting  bool
-	// ending is set if no further request is read, since the server closes.
-	ending bool
+	// ending is set once the server closes and an answer is due. answeredAt is when that was
+	// written; further requests are rejected.
+	ending     bool
+	answeredAt time.Time
 	// closeCause is why this host has closed the connection at closedAt, if it has.
 	closeCause closeCause
 	closedAt   time.Time
@@ -178,7 +180,7 @@
 }
 
 // recordBytes records bytes of a request and reports whether they are to be parsed.
-// They are not if the request has been rejected, if the connection is ending, or
+// They are not if the request has been rejected, if the connection is about to be closed, or
 // if they make the request larger than the limits allow; then status is the one to reject it
 // with, and otherwise 0.
 func (c *conns) recordBytes(conn net.Conn, data []byte, l Limits) (status int, accepted bool) {
@@ -189,7 +191,7 @@
 	if o == nil {
 		return 0, true
 	}
-	if o.ending || !o.rejectedAt.IsZero() || o.caller != nil && o.caller.closing.Load() {
+	if !o.rejectedAt.IsZero() || o.caller != nil && o.caller.closing.Load() {
 		return 0, false
 	}
 	if o.requestStarted.IsZero() {
@@ -217,6 +219,9 @@
 	defer c.mu.Unlock()
 	if o := c.find(conn); o != nil {
 		o.rejectedAt, o.rejecting = time.Now(), false
+		if o.answeredAt.IsZero() {
+			o.answeredAt = o.rejectedAt
+		}
 	}
 }
 
@@ -241,6 +246,9 @@
 	}
 	o.requests--
 	o.idleSince = time.Now()
+	if o.ending && o.answeredAt.IsZero() {
+		o.answeredAt = o.idleSince
+	}
 	if o.requests == 0 && o.requestStarted.IsZero() {
 		c.memory.Release(o.heldRequests)
 		o.heldRequests = 0
@@ -288,32 +296,59 @@
 	})
 }
 
+// closeLinger is how long a server that closes waits for callers that have not taken their
+// answers.
+const closeLinger = 250 * time.Millisecond
+
+// lingers reports whether the caller of a connection still has time to take its answer, if the
+// server closes since a point in time.
+func (o *openConn) lingers(since, now time.Time) bool {
+	if o.answeredAt.After(since) {
+		since = o.answeredAt
+	}
+	return now.Sub(since) < closeLinger
+}
+
+// isDue reports whether a request has been read, or rejected, and not answered yet.
+func (o *openConn) isDue() bool { return o.requests > 0 || o.rejecting }
+
 // closeUnused closes those connections that an event loop owns and that have no request that
-// was read whole. The others end with their answers, for which it waits unless final is set;
-// no further request is read on them. It must be called in that loop.
-func (c *conns) closeUnused(owns func(net.Conn) bool, final bool) {
-	c.closeAll(owns, causeStop, func(o *openConn, _ time.Time) bool {
+// was read whole, nor an answer that their callers still have time to take, if the server
+// closes since a point in time. It must be called in that loop.
+func (c *conns) closeUnused(owns func(net.Conn) bool, since time.Time) {
+	c.closeAll(owns, causeStop, func(o *openConn, now time.Time) bool {
+		taking := o.hasUnsent() || !o.rejectedAt.IsZero()
+		o.ending = o.ending || o.isDue() || taking
 		switch {
-		case o.requests > 0, o.rejecting, (o.hasUnsent() || !o.rejectedAt.IsZero()) && !final:
-			o.ending = true
+		case o.isDue():
 			return false
-		case o.ending, final:
+		case !o.lingers(since, now):
 			return true
 		}
-		return !o.hasUnread()
+		return !taking && !o.hasUnread()
 	})
 }
 
-// handling reports whether a request has been read, or rejected, and not answered yet.
-func (c *conns) handling() bool {
+// isEnding reports whether requests on a connection are rejected, since the server closes.
+func (c *conns) isEnding(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.find(conn)
+	return o != nil && o.ending
+}
+
+// mayEnd reports whether the server can stop: it closes since a point in time, and no connection
+// has an answer that is due, or that its caller still has time to take.
+func (c *conns) mayEnd(since time.Time) bool {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range c.open {
-		if o.requests > 0 || o.rejecting {
-			return true
+		if o.isDue() || o.lingers(since, now) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // closeAll closes those connections that an event loop owns and that match.
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -343,6 +343,11 @@
 	if s.refusing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.conns.isEnding(conn) {
+		SetRetryAfter(w, 0)
+		http.Error(w, "not run: the host ends", http.StatusServiceUnavailable)
+		return
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
@@ -381,14 +386,11 @@
 // read, and its caller may send it again.
 func (s *Server) CloseIdle() { s.inLoops(s.conns.closeIdle) }
 
-const (
-	// closeLinger is how long Close waits for callers that have not taken their answers.
-	closeLinger       = 500 * time.Millisecond
-	closePollInterval = 5 * time.Millisecond
-)
+const closePollInterval = 5 * time.Millisecond
 
-// Close stops listening, waits for the requests that were read and, for closeLinger, until
-// callers have taken their answers, and stops the server.
+// Close stops listening and waits until the requests that were read are answered and, for
+// closeLinger each, until callers have taken their answers. It rejects requests that follow on
+// the same connections, and stops the server.
 func (s *Server) Close() error {
 	if s.stop == nil {
 		return nil
@@ -396,10 +398,9 @@
 	err := s.StopListening()
 	close(s.stop)
 	s.workers.Wait()
-	for end := time.Now().Add(closeLinger); s.Conns() > 0; time.Sleep(closePollInterval) {
-		final := time.Now().After(end)
-		s.inLoops(func(owns func(net.Conn) bool) { s.conns.closeUnused(owns, final) })()
-		if final && !s.conns.handling() {
+	for since := time.Now(); s.Conns() > 0; time.Sleep(closePollInterval) {
+		s.inLoops(func(owns func(net.Conn) bool) { s.conns.closeUnused(owns, since) })()
+		if s.waiting.Load() == 0 && s.conns.mayEnd(since) {
 			break
 		}
 	}
