httpd: notice a request that begins in the bytes of the one before

A caller that sent the beginning of a request together with the request before it had its connection closed as idle while it sent the rest, and no time limit on stalled requests applied to it.

The end of a request cleared what had been read. Now the parser tells whether it has begun another. A first word that has not come whole still counts for nothing.

--- a/share/httpd/conns.go
+++ b/share/httpd/conns.go
@@ -213,6 +213,17 @@
 	return status, status == 0
 }
 
+// recordBegun records that a part of a request has been parsed. It may have come together with
+// the end of the request before it.
+func (c *conns) recordBegun(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.find(conn); o != nil && o.requestStarted.IsZero() {
+		o.requestStarted = time.Now()
+		o.lastRead = o.requestStarted
+	}
+}
+
 // recordRejected records that a rejected request has been answered: rejectLinger begins.
 func (c *conns) recordRejected(conn net.Conn) {
 	c.mu.Lock()
--- a/share/httpd/head.go
+++ b/share/httpd/head.go
@@ -8,6 +8,14 @@
 	nbhttp.Processor
 	bytes  int
 	inBody bool
+	// begun is set from the method of a request to its end.
+	begun bool
+}
+
+// OnMethod is called after the first word of a request.
+func (h *headMeter) OnMethod(p *nbhttp.Parser, method string) {
+	h.begun = true
+	h.Processor.OnMethod(p, method)
 }
 
 // add adds n bytes that are going to be parsed, and returns the size of the incomplete head.
@@ -28,6 +36,6 @@
 
 // OnComplete is called at the end of a request.
 func (h *headMeter) OnComplete(p *nbhttp.Parser) {
-	h.bytes, h.inBody = 0, false
+	h.bytes, h.inBody, h.begun = 0, false, false
 	h.Processor.OnComplete(p)
 }
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -258,6 +258,9 @@
 		}
 		if n > 0 && s.recordBytes(c, (*buf)[:n]) {
 			c.DataHandler()(c, (*buf)[:n])
+			if caller := callerOf(c); caller != nil && caller.head.begun {
+				s.conns.recordBegun(c)
+			}
 		}
 		if n < len(*buf) {
 			return
