httpd: keep event loops from waiting for the log

All callers on an event loop of an entry got no answers while nobody read its log: the line about a caller that does not read was written in the loop.

--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -91,6 +91,9 @@
 	conns      conns
 	limits     atomic.Pointer[Limits]
 	buffers    sync.Pool
+	// unread has the remote addresses of connections that were closed because their callers did
+	// not read, for the log.
+	unread chan string
 	// pollers is how many event loops read connections; 0 takes the default.
 	pollers int
 	stop    chan struct{}
@@ -133,6 +136,7 @@
 		return errors.CombineErrors(errors.Wrapf(err, "serve on %s", s.Address), ln.Close())
 	}
 	s.stop = make(chan struct{})
+	s.unread = make(chan string, maxUnreadLogged)
 	s.workers.Go(s.accept)
 	s.workers.Go(s.sweep)
 	return nil
@@ -190,7 +194,11 @@
 	return err
 }
 
-// sweep applies the time limits to all connections every sweepInterval, until Close.
+// maxUnreadLogged is how many lines about callers that don't read may wait for the log.
+const maxUnreadLogged = 64
+
+// sweep applies the time limits to all connections every sweepInterval, until Close. It also
+// writes the log for the event loops, which must not wait for that.
 func (s *Server) sweep() {
 	ticks := time.NewTicker(sweepInterval)
 	defer ticks.Stop()
@@ -198,6 +206,8 @@
 		select {
 		case <-s.stop:
 			return
+		case remote := <-s.unread:
+			s.Log.Warn().Str("remote", remote).Msg("answer-unread")
 		case now := <-ticks.C:
 			limits := *s.limits.Load()
 			for _, conn := range s.conns.sweep(limits, now) {
@@ -216,7 +226,10 @@
 	case closeConn:
 		_ = c.Close() // fails only if the caller closed it first
 		if cause == causeUnread {
-			s.Log.Warn().Str("remote", c.RemoteAddr().String()).Msg("answer-unread")
+			select {
+			case s.unread <- c.RemoteAddr().String():
+			default: // the log is too slow
+			}
 		}
 	case rejectTimedOut:
 		s.reject(c, http.StatusRequestTimeout)
