proxy: tell callers of a host that ends that their requests have not run

Callers whose request came after the control loop of a host had ended got 502, which leaves open whether it ran: they could not send it again elsewhere if it may run once only.

All that waited got the same answer. Now the control loop marks the requests that it takes, and only these get 502.

--- a/share/proxy/callers.go
+++ b/share/proxy/callers.go
@@ -18,10 +18,17 @@
 // callers holds the callers that wait for an answer, by the number of their query.
 type callers struct {
 	mu      sync.Mutex
-	waiting map[uint64]chan router.Answer
+	waiting map[uint64]*waiter
 	closed  bool
 }
 
+// waiter is a caller that waits.
+type waiter struct {
+	answers chan router.Answer
+	// begun is set once the control loop has its request, which may run from then on.
+	begun bool
+}
+
 // add registers a caller that waits for the answer to a query, and returns the channel
 // that will hold it. After closeAll, the answer is a refusal.
 func (c *callers) add(query uint64) chan router.Answer {
@@ -29,16 +36,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting == nil {
-		c.waiting = map[uint64]chan router.Answer{}
+		c.waiting = map[uint64]*waiter{}
 	}
 	if c.closed {
 		answers <- router.Answer{Query: query, Refusal: router.NoConfig} // the request has not run
 		return answers
 	}
-	c.waiting[query] = answers
+	c.waiting[query] = &waiter{answers: answers}
 	return answers
 }
 
+// begin records that the control loop has a caller's request.
+func (c *callers) begin(query uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.waiting[query]; w != nil {
+		w.begun = true
+	}
+}
+
 // remove removes a caller that no longer waits.
 func (c *callers) remove(query uint64) {
 	c.mu.Lock()
@@ -50,20 +66,25 @@
 func (c *callers) deliver(a router.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if answers := c.waiting[a.Query]; answers != nil {
+	if w := c.waiting[a.Query]; w != nil {
 		delete(c.waiting, a.Query)
-		answers <- a
+		w.answers <- a
 	}
 }
 
-// closeAll sends a final answer to all waiting callers and lets add refuse new ones.
+// closeAll sends a final answer to all waiting callers and lets add refuse new ones. It is called
+// after the control loop has ended.
 func (c *callers) closeAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	for query, answers := range c.waiting {
+	for query, w := range c.waiting {
 		delete(c.waiting, query)
-		answers <- router.Answer{Query: query, Refusal: router.Failed}
+		refusal := router.NoConfig // the request has not run
+		if w.begun {
+			refusal = router.Failed
+		}
+		w.answers <- router.Answer{Query: query, Refusal: refusal}
 	}
 }
 
--- a/share/proxy/server.go
+++ b/share/proxy/server.go
@@ -208,6 +208,9 @@
 
 // handle passes an event to the engine and carries out the actions that it returns.
 func (s *Server) handle(e router.Event) {
+	if arrival, ok := e.(router.Arrival); ok {
+		s.callers.begin(arrival.Query)
+	}
 	for _, a := range s.engine.Handle(s.Clock.Now(), e) {
 		switch a := a.(type) {
 		case router.Send:
