mesh: send what is queued when a link is closed

A process that sent its last messages and closed its links lost them, without an error: Close closed the sessions at once, whatever their queues still held.

Close now lets the write loops send what is queued. Closing the connection from this side could reset it, with data on its way, if bytes from the peer were unread. All of that takes at most half a second, after which the link is closed as before, so a peer that does not read can't hold up Close for longer. Fail and Disconnect remain abrupt, and so does Close on a link whose hellos are not exchanged.

Send still accepts messages while the link is closing. They are sent if their stream has not ended. An aggregator takes an error of Send as that of a slow peer and would fail the link, with what is queued.

That an aggregator's outcomes arrive was not run.

--- a/share/mesh/mesh.go
+++ b/share/mesh/mesh.go
@@ -54,6 +54,8 @@
 	helloTimeout   = 3 * time.Second
 	minRedialDelay = 100 * time.Millisecond
 	maxRedialDelay = 2 * time.Second
+	// closeTimeout limits for how long Close waits for the peer to read what is queued.
+	closeTimeout = 500 * time.Millisecond
 )
 
 // Handler receives the events of links. Its methods are called from many
@@ -80,7 +82,10 @@
 
 	session *yamux.Session
 	queues  [streamsPerLink]chan *wire.Envelope
+	ready   atomic.Bool   // the link carries messages
+	closing chan struct{} // closed by startClose
 	done    chan struct{} // closed by Fail
+	closer  sync.Once
 	once    sync.Once
 	err     error // why the link was closed; set before done is closed
 	wait    sync.WaitGroup
@@ -90,7 +95,8 @@
 var lastLinkID atomic.Uint64
 
 // Send queues a message. It never blocks. A nil error does not mean that the
-// peer received the message; an error means that it was not sent.
+// peer received the message, and it may not be sent if the link is closing; an error
+// means that it was not sent.
 func (l *Link) Send(m *wire.Envelope) error {
 	return l.enqueue(l.queues[l.streamFor(m)], m)
 }
@@ -140,9 +146,30 @@
 	})
 }
 
-// Close closes the link and waits for its goroutines.
+// startClose begins an orderly close: the messages that are queued are sent before the link
+// ends. It does not wait. A link that is not ready has none, and is closed at once.
+func (l *Link) startClose() {
+	if !l.ready.Load() {
+		l.Fail(ErrClosed)
+		return
+	}
+	l.closer.Do(func() { close(l.closing) })
+}
+
+// isClosing reports whether startClose was called on a link that was ready.
+func (l *Link) isClosing() bool {
+	select {
+	case <-l.closing:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close sends what is queued, closes the link and waits for its goroutines. A peer that
+// does not read in time gets only a part of it.
 func (l *Link) Close() error {
-	l.Fail(ErrClosed)
+	l.startClose()
 	l.wait.Wait()
 	return nil
 }
@@ -282,6 +309,7 @@
 	c := yamux.DefaultConfig()
 	c.EnableKeepAlive = false // Link.pingLoop replaces it and measures the round-trip time
 	c.ConnectionWriteTimeout = pingTimeout
+	c.StreamCloseTimeout = 0 // Link.finish has a limit of its own
 	c.MaxStreamWindowSize = MaxFrameBytes
 	c.LogOutput = io.Discard
 	return c
@@ -295,7 +323,7 @@
 		_ = c.Close() // nothing was sent on it
 		return
 	}
-	l := &Link{ID: lastLinkID.Add(1), DialedAddr: dialedAddr, session: session, done: make(chan struct{})}
+	l := &Link{ID: lastLinkID.Add(1), DialedAddr: dialedAddr, session: session, closing: make(chan struct{}), done: make(chan struct{})}
 	for i := range l.queues {
 		l.queues[i] = make(chan *wire.Envelope, sendQueueLen)
 	}
@@ -312,18 +340,48 @@
 		l.Fail(err)
 		return
 	}
+	l.ready.Store(true)
 	m.Handler.Up(l)
+	var writers, readers sync.WaitGroup
 	for i, s := range streams {
-		l.wait.Go(func() { l.writeLoop(s, l.queues[i]) })
-		l.wait.Go(func() { l.readLoop(s, m.Handler) })
+		writers.Add(1)
+		l.wait.Go(func() {
+			defer writers.Done()
+			l.writeLoop(s, l.queues[i])
+		})
+		readers.Add(1)
+		l.wait.Go(func() {
+			defer readers.Done()
+			l.readLoop(s, m.Handler)
+		})
 	}
 	if dialedAddr != "" {
 		l.wait.Go(func() { l.pingLoop(m.Handler) })
 	}
+	select {
+	case <-l.done:
+	case <-l.closing:
+		l.finish(streams, &writers, &readers)
+	}
 	l.wait.Wait()
 	m.Handler.Down(l, l.err)
 }
 
+// finish ends a closing link: once all queued messages are written, it ends the streams. The
+// peer then closes the connection, after it has read the messages. If that takes longer than
+// closeTimeout, the link is closed all the same.
+func (l *Link) finish(streams []stream, writers, readers *sync.WaitGroup) {
+	timer := time.AfterFunc(closeTimeout, func() { l.Fail(ErrClosed) })
+	defer timer.Stop()
+	writers.Wait()
+	// The peer closes the link at the end of any stream, so none may end before.
+	for _, s := range streams {
+		_ = s.Close() // returns no error
+	}
+	readers.Wait()
+	l.Fail(ErrClosed)
+}
+
 // add records a link for Close and Disconnect. It returns false if the mesh is closed.
 func (m *Mesh) add(l *Link) bool {
 	m.mu.Lock()
@@ -400,16 +458,23 @@
 	return protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}.UnmarshalFrom(r, m)
 }
 
-// writeLoop sends the messages of a queue until the link is closed.
+// writeLoop sends the messages of a queue until the link is closed. If the link is closing, it
+// sends those that are queued.
 func (l *Link) writeLoop(s stream, q chan *wire.Envelope) {
 	w := bufio.NewWriterSize(s, 16<<10)
 	for {
 		select {
 		case <-l.done:
 			return
+		case <-l.closing:
+			select {
+			case m := <-q:
+				l.writeQueued(w, m, q)
+			default:
+			}
+			return
 		case m := <-q:
-			if err := l.writeQueued(w, m, q); err != nil {
-				l.Fail(errors.Wrap(err, "write to peer"))
+			if !l.writeQueued(w, m, q) {
 				return
 			}
 		}
@@ -417,27 +482,36 @@
 }
 
 // writeQueued writes a message and all others that are queued by then, and flushes once,
-// so that small messages share a write.
-func (l *Link) writeQueued(w *bufio.Writer, m *wire.Envelope, q chan *wire.Envelope) error {
+// so that small messages share a write. It closes the link and returns false if that fails.
+func (l *Link) writeQueued(w *bufio.Writer, m *wire.Envelope, q chan *wire.Envelope) bool {
 	for {
 		if _, err := protodelim.MarshalTo(w, m); err != nil {
-			return err
+			l.Fail(errors.Wrap(err, "write to peer"))
+			return false
 		}
 		select {
 		case m = <-q:
 			continue
 		default:
 		}
-		return w.Flush()
+		if err := w.Flush(); err != nil {
+			l.Fail(errors.Wrap(err, "write to peer"))
+			return false
+		}
+		return true
 	}
 }
 
 // readLoop passes the messages of a stream to the handler. It closes the link when the
-// stream ends or a message violates the protocol.
+// stream ends or a message violates the protocol. At the end of a stream of a closing link, it
+// leaves that to finish, since messages may still be queued.
 func (l *Link) readLoop(s stream, h Handler) {
 	for {
 		m := &wire.Envelope{}
 		if err := unmarshal(s.r, m); err != nil {
+			if errors.Is(err, io.EOF) && l.isClosing() {
+				return
+			}
 			l.Fail(classifyReadError(err))
 			return
 		}
@@ -500,7 +574,8 @@
 	}
 }
 
-// Close closes all links and the listener, and waits for every goroutine.
+// Close sends what is queued on all links, closes them and the listener, and waits for every
+// goroutine. Peers that do not read delay it by at most closeTimeout.
 func (m *Mesh) Close() error {
 	m.mu.Lock()
 	m.closed = true
@@ -516,7 +591,7 @@
 	}
 	m.mu.Unlock()
 	for _, l := range links {
-		l.Fail(ErrClosed)
+		l.startClose()
 	}
 	m.wait.Wait()
 	return nil
