--- a/share/httpd/closers_test.go
+++ b/share/httpd/closers_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -47,22 +46,28 @@
 	return second, release
 }
 
+// halfClose ends a connection in one direction.
+func halfClose(c *net.TCPConn) error { return c.CloseWrite() }
+
+// reset resets a connection.
+func reset(c *net.TCPConn) error {
+	_ = c.SetLinger(0)
+	return c.Close()
+}
+
+// sweepWith applies limits for some sweeps.
+func sweepWith(s *Server, l Limits) {
+	s.SetLimits(l)
+	time.Sleep(2 * sweepInterval)
+	s.SetLimits(Limits{})
+}
+
 // The callers of connections half-close or reset them while other goroutines than the event
 // loop close them. New connections that get the descriptors are closed by the events of the
 // former ones, without an answer.
 func TestNewConnectionOutlivesEventsWhoeverClosedFormerOnes(t *testing.T) {
 	const formerConns, newConns = 6, 3
-	const heldRequest, partOfRequest = "GET /held HTTP/1.1\r\nHost: h\r\n", "GET / HT"
-	halfClose := func(c *net.TCPConn) error { return c.CloseWrite() }
-	reset := func(c *net.TCPConn) error {
-		_ = c.SetLinger(0)
-		return c.Close()
-	}
-	sweepWith := func(s *Server, l Limits) {
-		s.SetLimits(l)
-		time.Sleep(2 * sweepInterval)
-		s.SetLimits(Limits{})
-	}
+	const heldRequest = "GET /held HTTP/1.1\r\nHost: h\r\n"
 	for _, c := range []struct {
 		name string
 		// request is sent on each former connection and read by the server.
@@ -70,33 +75,19 @@
 		// end is what its caller does while the loop is blocked.
 		end func(*net.TCPConn) error
 		// closeAll closes the server's ends. answer lets the handlers return.
-		closeAll func(s *Server, former []net.Conn, answer func())
+		closeAll func(former []net.Conn, answer func())
 	}{
-		{"handler after Connection: close", heldRequest + "Connection: close\r\n\r\n", halfClose, func(_ *Server, _ []net.Conn, answer func()) {
+		{"handler after Connection: close", heldRequest + "Connection: close\r\n\r\n", halfClose, func(_ []net.Conn, answer func()) {
 			answer()
 		}},
-		{"failed write of an answer", heldRequest + "\r\n", reset, func(_ *Server, _ []net.Conn, answer func()) {
+		{"failed write of an answer", heldRequest + "\r\n", reset, func(_ []net.Conn, answer func()) {
 			answer()
 		}},
-		{"write time-out", heldRequest + "\r\n", halfClose, func(_ *Server, former []net.Conn, _ func()) {
+		{"write time-out", heldRequest + "\r\n", halfClose, func(former []net.Conn, _ func()) {
 			for _, f := range former {
 				_ = f.SetWriteDeadline(time.Now().Add(time.Millisecond))
 			}
 		}},
-		{"sweep of idle connections", "", halfClose, func(s *Server, _ []net.Conn, _ func()) {
-			sweepWith(s, Limits{IdleTimeout: time.Millisecond})
-		}},
-		{"failed write of a rejection", partOfRequest, reset, func(s *Server, _ []net.Conn, _ func()) {
-			sweepWith(s, Limits{StallTimeout: time.Millisecond})
-		}},
-		{"sweep after a rejection", partOfRequest, halfClose, func(s *Server, _ []net.Conn, _ func()) {
-			sweepWith(s, Limits{StallTimeout: time.Millisecond})
-			time.Sleep(rejectLinger + 2*sweepInterval)
-		}},
-		{"CloseIdle", "", halfClose, func(s *Server, _ []net.Conn, _ func()) {
-			time.Sleep(2 * idleGrace)
-			s.CloseIdle()
-		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			held := make(chan struct{})
@@ -140,7 +131,7 @@
 			time.Sleep(settle) // until the ends have crossed loopback
 			release[0]()
 			<-inSecond
-			c.closeAll(s, former, answer)
+			c.closeAll(former, answer)
 			time.Sleep(settle) // until they are closed
 			for _, fd := range newSockets {
 				connect(t, fd, s)
@@ -148,13 +139,7 @@
 			time.Sleep(settle) // until they are accepted
 			release[1]()
 			time.Sleep(settle) // until the rest of the batch is handled
-			for _, fd := range newSockets {
-				_, err := syscall.Write(fd, []byte(plainRequest))
-				assert.NilError(t, err)
-				n, err := syscall.Read(fd, make([]byte, 16))
-				assert.NilError(t, err)
-				assert.Check(t, n > 0, "closed without an answer")
-			}
+			checkAnswered(t, newSockets)
 		})
 	}
 }
