httpd: test requests that arrive as their event loop closes idle connections

The tests of requests that wait unread block the event loop and then let it go on.

In the new test the request and the close are in one batch, and the close comes first.

--- a/share/httpd/batch_test.go
+++ b/share/httpd/batch_test.go
@@ -150,6 +150,46 @@
 	}
 }
 
+// A request arrives while the event loop is about to close its connection as idle or stalled, or
+// because the server closes. The loop has not read it yet, and the close would reset it.
+func TestRequestInTheBatchThatClosesIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		first, rest string
+		queue       func(t *testing.T, d *drainServer)
+	}{
+		{"CloseIdle", "", plainRequest, func(_ *testing.T, d *drainServer) { closeIdleLater(d) }},
+		{"idle timeout", "", plainRequest, func(_ *testing.T, d *drainServer) {
+			sweepWith(d.Server, Limits{IdleTimeout: time.Millisecond})
+		}},
+		{"stall timeout", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na", "b", func(_ *testing.T, d *drainServer) {
+			const stall = 300 * time.Millisecond // the whole request may take ten times as long
+			d.SetLimits(Limits{StallTimeout: stall})
+			time.Sleep(stall + 2*sweepInterval)
+			d.SetLimits(Limits{})
+		}},
+		{"Close", "", plainRequest, func(t *testing.T, d *drainServer) {
+			d.startClose(t)
+			time.Sleep(settle) // until Close waits for the loop
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := startDrain(t)
+			caller, end := d.open(t)
+			_, err := io.WriteString(caller.conn, c.first)
+			assert.NilError(t, err)
+			poll.WaitOn(t, d.conns.hasRead(len(c.first)))
+			finish := d.closeInBatch(t, func() { c.queue(t, d) }, func() {
+				assert.Assert(t, !isClosed(end), "closed before the batch")
+				_, err := io.WriteString(caller.conn, c.rest)
+				assert.NilError(t, err)
+			})
+			finish()
+			assert.Equal(t, readStatus(t, caller.conn), http.StatusOK)
+		})
+	}
+}
+
 // closeIdleLater calls CloseIdle once all connections count as idle.
 func closeIdleLater(d *drainServer) {
 	time.Sleep(2 * idleGrace)
