daemon: take signals before the service starts

An entry or aggregator that got SIGTERM while it started was killed, and with it the requests of callers that it served already. They saw their connections close without an answer.

SIGTERM and SIGINT were registered after the service and the admin server had started. Register them before: a signal that comes in between waits until the program has started, which then leaves.

--- a/share/daemon/daemon.go
+++ b/share/daemon/daemon.go
@@ -132,6 +132,8 @@
 		return err
 	}
 	m := meter.New(program)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	service, err := start(Env{Settings: settings, Log: log, Meter: m, Tracer: tracer})
 	if err != nil {
 		return err
@@ -141,7 +143,7 @@
 		return errors.CombineErrors(err, service.Close())
 	}
 	log.Info().Str("admin", admin.Addr()).Str("links", settings.Listen.Links).Msg("started")
-	awaitShutdown(log, service.Leave)
+	awaitShutdown(log, signals, service.Leave)
 	err = service.Close()
 	err = errors.CombineErrors(err, admin.Close())
 	err = errors.CombineErrors(err, m.Close())
@@ -152,9 +154,7 @@
 
 // awaitShutdown returns when the service has drained after a signal, or at a
 // second signal.
-func awaitShutdown(log zerolog.Logger, leave func()) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func awaitShutdown(log zerolog.Logger, signals chan os.Signal, leave func()) {
 	defer signal.Stop(signals)
 	first := <-signals
 	log.Info().Str("signal", first.String()).Msg("leaving")
