daemon: don't give signals back when the service has left

An entry or aggregator that had left, and got another SIGTERM while Close waited for its callers, was killed. The callers saw their connections close without an answer.

The signals were given back after Leave, or after the second signal, which is meant to end that wait only. Keep them to the end of the process: the first one starts to leave, the second one ends the wait, and further ones change nothing.

--- a/share/daemon/daemon.go
+++ b/share/daemon/daemon.go
@@ -88,7 +88,7 @@
 	// Admin serves the admin address.
 	Admin http.Handler
 	// Leave drains the service after the first signal; a second signal ends the wait
-	// for it.
+	// for it, and further ones change nothing.
 	Leave func()
 	// Close stops the service, drained or not.
 	Close func() error
@@ -121,7 +121,9 @@
 	return ExitOK
 }
 
-// run starts the program and its admin server, and stops both after a signal.
+// run starts the program and its admin server, and stops both after a signal. SIGTERM and SIGINT
+// themselves don't end the process, at whatever moment they come: the service may have callers
+// from its start to the end of its Close.
 func run(program string, settings node.Settings, start func(Env) (Service, error)) error {
 	log, err := logs.New(os.Stderr, settings.Log.Level, program, settings.Host.Name)
 	if err != nil {
@@ -154,8 +156,7 @@
 
 // awaitShutdown returns when the service has drained after a signal, or at a
 // second signal.
-func awaitShutdown(log zerolog.Logger, signals chan os.Signal, leave func()) {
-	defer signal.Stop(signals)
+func awaitShutdown(log zerolog.Logger, signals <-chan os.Signal, leave func()) {
 	first := <-signals
 	log.Info().Str("signal", first.String()).Msg("leaving")
 	done := make(chan struct{})
