daemon: never block on the log

An entry or aggregator whose log nobody read stood still as soon as the pipe was full, and did not end after SIGTERM: whoever logged waited for the reader. By reading, the control loop and the shutdown do too, and callers get no answers then.

It wrote its lines to standard error directly. Write them through a BoundedWriter, as the host on the platform does, which queues lines, drops and counts what is too much, and is closed after the last line. So is the error that Main reports, which has the same reader.

--- a/share/daemon/daemon.go
+++ b/share/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -111,11 +112,19 @@
 		fmt.Println("settings are valid")
 		return ExitOK
 	}
-	if err := run(program, settings, start); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
-		if errors.Is(err, conf.ErrInvalid) || errors.Is(err, node.ErrTLS) {
-			return ExitSettings
-		}
+	// The error takes the way of the log, since it is written to the same reader.
+	out := logs.NewBoundedWriter(os.Stderr)
+	err = run(program, settings, out, start)
+	if err != nil {
+		_, _ = fmt.Fprintf(out, "%s: %v\n", program, err) // a BoundedWriter returns no error
+	}
+	if err := out.Close(); err != nil {
+		return ExitFailure
+	}
+	switch {
+	case errors.Is(err, conf.ErrInvalid), errors.Is(err, node.ErrTLS):
+		return ExitSettings
+	case err != nil:
 		return ExitFailure
 	}
 	return ExitOK
@@ -124,8 +133,8 @@
 // run starts the program and its admin server, and stops both after a signal. SIGTERM and SIGINT
 // themselves don't end the process, at whatever moment they come: the service may have callers
 // from its start to the end of its Close.
-func run(program string, settings node.Settings, start func(Env) (Service, error)) error {
-	log, err := logs.New(os.Stderr, settings.Log.Level, program, settings.Host.Name)
+func run(program string, settings node.Settings, out io.Writer, start func(Env) (Service, error)) error {
+	log, err := logs.New(out, settings.Log.Level, program, settings.Host.Name)
 	if err != nil {
 		return errors.Mark(err, conf.ErrInvalid)
 	}
--- a/share/daemon/daemon_test.go
+++ b/share/daemon/daemon_test.go
@@ -6,11 +6,13 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -37,8 +39,22 @@
 			return nil
 		}), nil
 	},
+	"TestUnreadLogBlocksTheProgram": func(env Env) (Service, error) {
+		for range maxPipeBytes / len(longText) {
+			env.Log.Info().Msg(longText)
+		}
+		return newService(func() error { return errTest }), nil
+	},
 }
 
+// maxPipeBytes is more than a pipe holds.
+const maxPipeBytes = 1 << 20
+
+var (
+	longText = strings.Repeat("x", 1<<10)
+	errTest  = errors.New("a part of the program failed to stop")
+)
+
 // newService returns a service that sends SIGTERM to its process until Leave is called.
 func newService(closeService func() error) Service {
 	signals, left := make(chan os.Signal, 1), make(chan struct{})
@@ -67,8 +83,8 @@
 	time.Sleep(50 * time.Millisecond)
 }
 
-// runProgram runs the program with the name of the test and checks that it ends by itself.
-func runProgram(t *testing.T) {
+// program returns the command that runs the program with the name of the test.
+func program(t *testing.T) *exec.Cmd {
 	t.Helper()
 	settings := filepath.Join(t.TempDir(), "settings.yaml")
 	ip := fmt.Sprintf("127.%d.%d.1", 60+os.Getpid()>>8%20, os.Getpid()%256) // the settings allow no port 0
@@ -79,7 +95,13 @@
 	cmd := exec.Command(os.Args[0], "--settings", settings)
 	cmd.Env = append(os.Environ(), asProgram+"="+t.Name())
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	output, err := cmd.CombinedOutput()
+	return cmd
+}
+
+// runProgram runs the program with the name of the test and checks that it ends by itself.
+func runProgram(t *testing.T) {
+	t.Helper()
+	output, err := program(t).CombinedOutput()
 	assert.NilError(t, err, "%s", output)
 }
 
@@ -90,3 +112,25 @@
 // A program that has left gets another SIGTERM while it closes. It was killed, and the callers that
 // Close waits for got no answer.
 func TestSignalDuringCloseEndsTheProcess(t *testing.T) { runProgram(t) }
+
+// Nobody reads the log of a program. The program stood still, and did not end when it was stopped.
+func TestUnreadLogBlocksTheProgram(t *testing.T) {
+	unread, stderr, err := os.Pipe()
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, errors.CombineErrors(unread.Close(), stderr.Close())) })
+	cmd := program(t)
+	cmd.Stderr = stderr
+	assert.NilError(t, cmd.Start())
+	ended := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // the exit code is checked
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		assert.NilError(t, cmd.Process.Kill())
+		<-ended
+	}
+	assert.Equal(t, cmd.ProcessState.ExitCode(), ExitFailure, cmd.ProcessState.String())
+}
