--- a/share/daemon/daemon.go
+++ b/share/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -88,7 +89,7 @@
 	// Admin serves the admin address.
 	Admin http.Handler
 	// Leave drains the service after the first signal; a second signal ends the wait
-	// for it.
+	// for it, and further ones change nothing.
 	Leave func()
 	// Close stops the service, drained or not.
 	Close func() error
@@ -111,19 +112,29 @@
 		fmt.Println("settings are valid")
 		return ExitOK
 	}
-	if err := run(program, settings, start); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
-		if errors.Is(err, conf.ErrInvalid) || errors.Is(err, node.ErrTLS) {
-			return ExitSettings
-		}
+	// The error takes the way of the log, since it is written to the same reader.
+	out := logs.NewBoundedWriter(os.Stderr)
+	err = run(program, settings, out, start)
+	if err != nil {
+		_, _ = fmt.Fprintf(out, "%s: %v\n", program, err) // a BoundedWriter returns no error
+	}
+	if err := out.Close(); err != nil {
+		return ExitFailure
+	}
+	switch {
+	case errors.Is(err, conf.ErrInvalid), errors.Is(err, node.ErrTLS):
+		return ExitSettings
+	case err != nil:
 		return ExitFailure
 	}
 	return ExitOK
 }
 
-// run starts the program and its admin server, and stops both after a signal.
-func run(program string, settings node.Settings, start func(Env) (Service, error)) error {
-	log, err := logs.New(os.Stderr, settings.Log.Level, program, settings.Host.Name)
+// run starts the program and its admin server, and stops both after a signal. SIGTERM and SIGINT
+// themselves don't end the process, at whatever moment they come: the service may have callers
+// from its start to the end of its Close.
+func run(program string, settings node.Settings, out io.Writer, start func(Env) (Service, error)) error {
+	log, err := logs.New(out, settings.Log.Level, program, settings.Host.Name)
 	if err != nil {
 		return errors.Mark(err, conf.ErrInvalid)
 	}
@@ -132,6 +143,8 @@
 		return err
 	}
 	m := meter.New(program)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	service, err := start(Env{Settings: settings, Log: log, Meter: m, Tracer: tracer})
 	if err != nil {
 		return err
@@ -141,7 +154,7 @@
 		return errors.CombineErrors(err, service.Close())
 	}
 	log.Info().Str("admin", admin.Addr()).Str("links", settings.Listen.Links).Msg("started")
-	awaitShutdown(log, service.Leave)
+	awaitShutdown(log, signals, service.Leave)
 	err = service.Close()
 	err = errors.CombineErrors(err, admin.Close())
 	err = errors.CombineErrors(err, m.Close())
@@ -152,10 +165,7 @@
 
 // awaitShutdown returns when the service has drained after a signal, or at a
 // second signal.
-func awaitShutdown(log zerolog.Logger, leave func()) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
+func awaitShutdown(log zerolog.Logger, signals <-chan os.Signal, leave func()) {
 	first := <-signals
 	log.Info().Str("signal", first.String()).Msg("leaving")
 	done := make(chan struct{})
--- a/share/httpd/batch_test.go
+++ b/share/httpd/batch_test.go
@@ -104,7 +104,7 @@
 			time.Sleep(rejectLinger + 2*sweepInterval)
 		}, halfClose},
 		{"close of unused connections", "", nil, func(d *drainServer) {
-			d.inLoops(func(owns func(net.Conn) bool) { d.conns.closeUnused(owns, false) })
+			d.inLoops(func(owns func(net.Conn) bool) { d.conns.closeUnused(owns, time.Now()) })
 		}, halfClose},
 	} {
 		t.Run(c.name, func(t *testing.T) {
