httpc: end probes and dials that belong to no call in Close

A host that stopped, after its callers had their last answers, could wait for up to 0.8 s more for leaves and hosts that didn't answer, out of the second that it has left of its grace.

Close cancelled calls, but waited for the connections that Preconnect and CheckConn open, up to 0.4 s, and for probes, up to 0.8 s: they had a context that nothing cancels. Give them one that Close cancels. A probe that it cancels is not reported, since it says nothing of the leaf.

--- a/share/httpc/pool.go
+++ b/share/httpc/pool.go
@@ -48,6 +48,10 @@
 	calls   map[uint64]*activeCall
 	closed  bool
 	wait    sync.WaitGroup
+	// ctx is for work that belongs to no call; Close cancels it. It is nil until the first
+	// such work.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // activeCall is a call in flight.
@@ -113,8 +117,8 @@
 		p.opening = map[string]int{}
 	}
 	p.opening[address]++
-	p.wait.Go(func() {
-		netConn, err := p.dial(context.Background(), address)
+	p.startWork(func(ctx context.Context) {
+		netConn, err := p.dial(ctx, address)
 		p.mu.Lock()
 		p.opening[address]--
 		p.mu.Unlock()
@@ -137,10 +141,13 @@
 	if p.closed {
 		return
 	}
-	p.wait.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	p.startWork(func(closing context.Context) {
+		ctx, cancel := context.WithTimeout(closing, probeTimeout)
 		defer cancel()
-		p.OnProbed(router.ProbeResult{Leaf: probe.Leaf, Healthy: p.healthy(ctx, probe)})
+		healthy := p.healthy(ctx, probe)
+		if closing.Err() == nil {
+			p.OnProbed(router.ProbeResult{Leaf: probe.Leaf, Healthy: healthy})
+		}
 	})
 }
 
@@ -153,8 +160,8 @@
 	if p.closed {
 		return
 	}
-	p.wait.Go(func() {
-		netConn, err := p.dial(context.Background(), check.Address)
+	p.startWork(func(ctx context.Context) {
+		netConn, err := p.dial(ctx, check.Address)
 		if err == nil {
 			_ = netConn.Close() // nothing was sent
 			return
@@ -243,11 +250,24 @@
 	}
 }
 
-// Close cancels all calls, closes all connections and waits for them to end. Calls that
-// it cancels are not reported.
+// startWork starts work that belongs to no call, with a context that Close cancels. The caller
+// holds the lock of the pool, which is not closed.
+func (p *Pool) startWork(work func(context.Context)) {
+	if p.ctx == nil {
+		p.ctx, p.cancel = context.WithCancel(context.Background())
+	}
+	ctx := p.ctx
+	p.wait.Go(func() { work(ctx) })
+}
+
+// Close cancels all calls, probes and checks, closes all connections and waits for them to
+// end. What it cancels is not reported.
 func (p *Pool) Close() error {
 	p.mu.Lock()
 	p.closed = true
+	if p.cancel != nil {
+		p.cancel()
+	}
 	for _, active := range p.calls {
 		active.cancel()
 	}
