evloop: test that a loop reads nothing during its functions

httpd judges and closes connections in functions that it gives to Each and Call, and relies on nothing being read in between.

--- a/share/evloop/evloop_test.go
+++ b/share/evloop/evloop_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 )
 
@@ -302,3 +304,76 @@
 	l.Each(func(func(*nbio.Conn) bool) { t.Error("called after Close") })()
 	g.Stop()
 }
+
+// readConn is a connection that counts the bytes that its loop reads.
+type readConn struct {
+	*nbio.Conn
+	peer net.Conn
+	read atomic.Int32
+}
+
+// addReadConn adds a connection that counts.
+func addReadConn(t *testing.T, g *nbio.Engine, l *Loops) *readConn {
+	t.Helper()
+	peer, server := dialLocal(t)
+	r := &readConn{peer: peer}
+	added := make(chan *nbio.Conn, 1)
+	assert.NilError(t, l.Add(server, func(c *nbio.Conn) {
+		c.OnData(func(_ *nbio.Conn, data []byte) { r.read.Add(int32(len(data))) })
+		_, err := g.AddConn(c)
+		assert.Check(t, err)
+		added <- c
+	}))
+	r.Conn = <-added
+	return r
+}
+
+// A function finds a connection idle and closes it, and a request on it is read in between: it
+// would be handled and its caller get no answer.
+func TestLoopReadsNothingDuringItsFunctions(t *testing.T) {
+	const loops, conns, settle = 2, 4, 50 * time.Millisecond
+	g, l := startEngine(t, loops)
+	var open []*readConn
+	for range conns {
+		open = append(open, addReadConn(t, g, l))
+		l.Prepare()
+	}
+	perLoop := map[int]int{}
+	for _, r := range open {
+		perLoop[r.Hash()%loops]++
+		// checkUnread sends on the connection and checks that nothing is read meanwhile.
+		checkUnread := func() {
+			before := r.read.Load()
+			_, err := r.peer.Write([]byte{0})
+			assert.Check(t, err)
+			time.Sleep(settle)
+			assert.Check(t, r.read.Load() == before, "read in between")
+		}
+		l.Each(func(owns func(*nbio.Conn) bool) {
+			if owns(r.Conn) {
+				checkUnread()
+			}
+		})()
+		called := make(chan struct{})
+		l.Call(r.Conn, func() {
+			defer close(called)
+			checkUnread()
+		})
+		<-called
+	}
+	assert.Equal(t, len(perLoop), loops)
+	const sent = 2 // to each connection
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, r := range open {
+			if n := r.read.Load(); n != sent {
+				return poll.Continue("%d bytes of %d are read", n, sent)
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	for _, r := range open {
+		assert.NilError(t, r.Close())
+	}
+	l.Close()
+	g.Stop()
+}
