--- a/share/httpd/batch_test.go
+++ b/share/httpd/batch_test.go
@@ -48,7 +48,7 @@
 	t.Cleanup(resume)
 	handleData := end.DataHandler()
 	held, release := d.holdLoop(t)
-	<-held
+	waitClosed(t, held)
 	end.OnData(func(c *nbio.Conn, data []byte) {
 		close(read)
 		<-parse
@@ -60,11 +60,11 @@
 	time.Sleep(settle)      // until the request has crossed loopback
 	// In the next batch, the loop prepares to call what was queued, and then reads the request.
 	release()
-	<-read
+	waitClosed(t, read)
 	arrive()
 	time.Sleep(settle) // until what arrives has crossed loopback
 	resume()
-	<-queued
+	waitClosed(t, queued)
 	return finish
 }
 
@@ -190,6 +190,16 @@
 	}
 }
 
+// waitClosed waits until a channel is closed.
+func waitClosed(t *testing.T, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the event loop does not get there")
+	}
+}
+
 // closeIdleLater calls CloseIdle once all connections count as idle.
 func closeIdleLater(d *drainServer) {
 	time.Sleep(2 * idleGrace)
