httpd: wait for the event loops after CloseIdle in tests

CloseIdle does not wait any more, so what tests do next may come before it closes anything. The others wait likewise before they let a handler return, an answer be read or the engine go on.

--- a/share/httpd/address_test.go
+++ b/share/httpd/address_test.go
@@ -63,8 +63,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, <-entered, "/latter")
 	time.Sleep(2 * idleGrace)
-	s.CloseIdle()
-	time.Sleep(settle)
+	s.closeIdleNow()
 	endLatter()
 	assert.Equal(t, readStatus(t, c), http.StatusOK)
 }
--- a/share/httpd/batch_test.go
+++ b/share/httpd/batch_test.go
@@ -209,6 +209,12 @@
 // waitForLoops waits until the event loops have called what was queued before.
 func (s *Server) waitForLoops() { s.inLoops(func(func(net.Conn) bool) {})() }
 
+// closeIdleNow is CloseIdle, and waits until the event loops have closed the connections.
+func (s *Server) closeIdleNow() {
+	s.CloseIdle()
+	s.waitForLoops()
+}
+
 // hasConns returns a check that this many connections are open.
 func (s *Server) hasConns(want int) poll.Check {
 	return func(poll.LogT) poll.Result {
--- a/share/httpd/drain_test.go
+++ b/share/httpd/drain_test.go
@@ -99,6 +99,7 @@
 	d.SetLimits(Limits{IdleTimeout: time.Millisecond})
 	time.Sleep(2 * sweepInterval)
 	d.SetLimits(Limits{})
+	d.waitForLoops()
 }
 
 // startClose starts to close a server. closed is closed at the end.
@@ -184,7 +185,7 @@
 // request was handled and its caller got no answer.
 func TestIdleCloseAnswersRequestsReadAfterItsCheck(t *testing.T) {
 	d := startDrain(t)
-	checkBetweenCloses(t, d, d.CloseIdle)
+	checkBetweenCloses(t, d, d.closeIdleNow)
 }
 
 // CloseIdle closes a connection whose event loop has taken a request from the socket and has not
@@ -206,16 +207,17 @@
 		handleData(c, data)
 	})
 	time.Sleep(2 * idleGrace) // until the connection counts as idle
-	c.send(t, "/")
+	c.send(t, "/held")
 	<-read
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		d.CloseIdle()
+		d.closeIdleNow()
 	}()
 	waitAtMost(func() bool { return isClosed(end) })
 	resume()
 	<-closed
+	d.answer()
 	_, err = c.receive()
 	assert.NilError(t, err)
 }
@@ -231,7 +233,7 @@
 // before, on a host that paused before it wrote the answer. The caller got none.
 func TestIdleCloseSparesAnswersThatAreNotWritten(t *testing.T) {
 	for name, closeIdle := range map[string]func(*drainServer){
-		"CloseIdle":    func(d *drainServer) { d.CloseIdle() },
+		"CloseIdle":    func(d *drainServer) { d.closeIdleNow() },
 		"idle timeout": (*drainServer).timeOutIdle,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/share/httpd/httpd_test.go
+++ b/share/httpd/httpd_test.go
@@ -162,7 +162,7 @@
 	defer func() { _ = c.Close() }()
 	<-accepted
 	time.Sleep(2 * idleGrace) // until the connection counts as idle
-	s.CloseIdle()
+	s.closeIdleNow()
 	close(accept)
 	closed := make(chan error, 1)
 	go func() { closed <- s.Close() }()
--- a/share/httpd/slow_test.go
+++ b/share/httpd/slow_test.go
@@ -107,7 +107,7 @@
 	assert.NilError(t, err)
 	time.Sleep(2 * idleGrace)
 	assert.Equal(t, s.Unsent(), 1)
-	s.CloseIdle()
+	s.closeIdleNow()
 	body, err := io.ReadAll(res.Body)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(body, largeAnswer))
