--- a/share/mirror/peer.go
+++ b/share/mirror/peer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -27,6 +28,9 @@
 	headerMaxAge = "Facts-Max-Age-Ms"
 	// headerSteady is how long the host has had a fresh copy, without a loss of the store.
 	headerSteady = "Facts-Steady-Ms"
+	// headerRegained is the time since the host's last loss of the store ended. It is absent
+	// if there was none.
+	headerRegained = "Facts-Regained-Ms"
 )
 
 // peerTimeout bounds a read from another host, in addition to the requested wait.
@@ -37,9 +41,16 @@
 // is noticed after this and peerTimeout.
 const maxPeerWait clock.Milli = 600
 
+// client sends requests to another host.
+type client interface {
+	Do(r *http.Request, timeout time.Duration) (fetch.Reply, error)
+	Disconnect()
+}
+
 // peerSource reads the mirror of another host.
 type peerSource struct {
-	client fetch.Client
+	client  client
+	address string
 	// maxAge is the age from which on a page is too old.
 	maxAge clock.Milli
 }
@@ -49,7 +60,7 @@
 
 // Read requests the changes after a revision. The host waits for at most maxPeerWait.
 func (s *peerSource) Read(after int64, wait clock.Milli) (Page, error) {
-	r, err := fetch.Request(http.MethodGet, s.client.Address, "/", nil)
+	r, err := fetch.Request(http.MethodGet, s.address, "/", nil)
 	if err != nil {
 		return Page{}, err
 	}
@@ -77,6 +88,11 @@
 			return Page{}, errors.Wrap(err, headerSteady)
 		}
 	}
+	if reply.Header.Get(headerRegained) != "" {
+		if p.Regained, err = parseMillis(reply.Header, headerRegained); err != nil {
+			return Page{}, errors.Wrap(err, headerRegained)
+		}
+	}
 	return p, nil
 }
 
