--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -71,8 +71,8 @@
 	// Memory bounds the bytes of all requests that are read or handled, and of all answers
 	// that callers have not taken yet. Servers may share it; nil sets quota.DefaultLimit.
 	Memory *quota.Bytes
-	// OnRejected is called for each request that is outside the limits and does
-	// not reach the handler; it may be nil.
+	// OnRejected is called for each request that does not reach the handler, since it is
+	// outside the limits or follows another one while the server closes; it may be nil.
 	OnRejected func(remote string, status int)
 	// Log gets a line for each connection that could not be accepted, at most one in
 	// acceptRetryDelay, and for each that is closed because its caller does not read its
@@ -360,6 +360,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if s.conns.isEnding(conn) {
+		s.reportRejected(r.RemoteAddr, http.StatusServiceUnavailable)
 		SetRetryAfter(w, 0)
 		http.Error(w, "not run: the host ends", http.StatusServiceUnavailable)
 		return
