--- a/share/evloop/evloop.go
+++ b/share/evloop/evloop.go
@@ -82,8 +82,8 @@
 }
 
 // Each has every event loop call f, and returns a function that waits until all have done so.
-// A loop reads its connections and nobody else does, so what f finds about those that it owns
-// holds until f returns. After Close, f is not called.
+// Only a loop reads its connections, so what f finds about the ones that it owns holds until f
+// returns. After Close, f is not called.
 func (l *Loops) Each(f func(owns func(*nbio.Conn) bool)) (wait func()) {
 	var calls sync.WaitGroup
 	for _, lp := range l.loops {
--- a/share/httpd/close_test.go
+++ b/share/httpd/close_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// closeOrRecover closes a server. If Close panics, it closes the server all the same and returns the
+// closeOrRecover closes a server. If Close panics, it closes the server again and returns the
 // panic as an error.
 func closeOrRecover(s *Server) (err error) {
 	defer func() {
--- a/share/httpd/drain.go
+++ b/share/httpd/drain.go
@@ -12,10 +12,10 @@
 	lastRequestTime = time.Second
 )
 
-// Drain closes connections that are idle. Once no more of them come, or lastRequestTime before a
-// point in time, it refuses new ones. It returns when none is left and busy, if it is set,
-// reports false, or at that time, and reports whether all are closed; Close ends those that are
-// left.
+// Drain closes idle connections until the given time at the latest. It refuses new ones once
+// none has come for quietTime, and lastRequestTime before its end in any case. It returns
+// earlier when no connection is left and busy, if it is set, reports false; the result is
+// whether that was so. Close ends the other connections.
 func (s *Server) Drain(until time.Time, busy func() bool) bool {
 	start := time.Now()
 	stoodStill := time.Duration(0) // the longest time by which a pause was too long
--- a/share/httpd/httpd.go
+++ b/share/httpd/httpd.go
@@ -386,7 +386,7 @@
 
 // Conns returns the number of open connections.
 func (s *Server) Conns() int {
-	waiting := int(s.waiting.Load()) // before conns, to which those that wait go
+	waiting := int(s.waiting.Load()) // read first: connections go from waiting to conns
 	return waiting + s.conns.count()
 }
 
--- a/share/mesh/close_test.go
+++ b/share/mesh/close_test.go
@@ -63,7 +63,7 @@
 	return &wire.Envelope{Body: &wire.Envelope_Delta{Delta: &wire.Delta{Packed: make([]byte, bytes)}}}
 }
 
-// A peer is slow with the messages that a closed link has brought. It lost those that it had not
+// A peer is slow with the messages that a closed link has brought. It lost the ones that it had not
 // taken by the end of the first stream.
 func TestSlowPeerGetsMessagesOfClosedLink(t *testing.T) {
 	server, client := &gate{open: make(chan struct{})}, &recorder{}
@@ -120,7 +120,7 @@
 // Frame implements Handler.
 func (e *echo) Frame(l *Link, m *wire.Envelope) { _ = l.Send(m) }
 
-// The handler closes a link that is closing already. Close must end all the same.
+// The handler closes a link that is closing already. Close must end anyway.
 func TestHandlerFailsClosingLink(t *testing.T) {
 	ignore := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, ignore) })
--- a/share/mesh/mesh.go
+++ b/share/mesh/mesh.go
@@ -369,7 +369,7 @@
 
 // finish ends a closing link: once all queued messages are written, it ends the streams. The
 // peer then closes the connection, after it has read the messages. If that takes longer than
-// closeTimeout, the link is closed all the same.
+// closeTimeout, the link is closed anyway.
 func (l *Link) finish(streams []stream, writers, readers *sync.WaitGroup) {
 	timer := time.AfterFunc(closeTimeout, func() { l.Fail(ErrClosed) })
 	defer timer.Stop()
@@ -459,7 +459,7 @@
 }
 
 // writeLoop sends the messages of a queue until the link is closed. If the link is closing, it
-// sends those that are queued.
+// sends the queued messages.
 func (l *Link) writeLoop(s stream, q chan *wire.Envelope) {
 	w := bufio.NewWriterSize(s, 16<<10)
 	for {
