httpc: reject replies whose fields or framing break the grammar

Callers got a leaf's reply whose head had a blank in the name of a field, or before its colon: with that line (`Fie ld: value`), or, as with `Transfer-Encoding : chunked`, with a body that was not the leaf's but its chunks with their sizes. Folded lines became part of the value before them, of the stamp among others.

Cause: net/http's parser decided alone what a reply is, and it is lenient on purpose. It takes a blank in names, folded lines, chunks in HTTP/1.0, chunks with a length beside them, and control bytes in the extension of a chunk. In trailers and interim heads it takes the same.

The new package syntax checks the bytes of a connection by RFC 9112 and RFC 9110 before the parser reads them: field lines of all heads and trailers, lengths, transfer codings and chunks. httpc reads calls, forwarded calls and health checks through it. A list of bad names would not do: what is outside the grammar is rejected, whichever parser follows. Bare line ends stay allowed, as RFC 9112, 2.2 allows them and net/http reads them in the same way.

Control bytes in names and values were rejected before as well; their cases stay.

--- a/share/httpc/conn.go
+++ b/share/httpc/conn.go
@@ -15,6 +15,7 @@
 	"dandelionstile/share/call"
 	"dandelionstile/share/clock"
 	"dandelionstile/share/quota"
+	"dandelionstile/share/syntax"
 )
 
 // Errors of calls.
@@ -125,6 +126,14 @@
 	return c.job
 }
 
+// method returns the method of the active call, or "".
+func (c *conn) method() string {
+	if j := c.current(); j != nil {
+		return j.request.Method
+	}
+	return ""
+}
+
 // finish delivers a result to the active call, if any. Unless the result keeps the
 // connection, no further call begins on it.
 func (c *conn) finish(r result) {
@@ -159,7 +168,8 @@
 func (c *conn) readLoop() {
 	defer close(c.ended)
 	defer c.close()
-	in := &replyReader{from: c.net, memory: c.memory}
+	in := &replyReader{memory: c.memory}
+	in.from = syntax.Reader{From: c.net, Method: c.method, Checker: syntax.Checker{BareLF: true}}
 	defer func() { in.release(nil) }()
 	br := bufio.NewReaderSize(in, readBufferBytes)
 	for {
@@ -173,7 +183,7 @@
 		}
 		r := c.readReply(in, br, j)
 		in.release(r.reply)
-		if br.Buffered() > 0 {
+		if br.Buffered() > 0 || in.from.Err() != nil {
 			r.keep = false // bytes after the reply
 		}
 		c.finish(r)
--- a/share/httpc/httpc_test.go
+++ b/share/httpc/httpc_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &fakeLeaf{t: t, ln: ln, accepted: make(chan struct{}, 1000)}
+	l := &fakeLeaf{t: t, ln: ln, accepted: make(chan struct{}, 10_000)}
 	l.wait.Go(func() {
 		for {
 			c, err := ln.Accept()
--- a/share/httpc/reader.go
+++ b/share/httpc/reader.go
@@ -8,6 +8,7 @@
 
 	"dandelionstile/share/call"
 	"dandelionstile/share/quota"
+	"dandelionstile/share/syntax"
 )
 
 // Errors of replies that are not read to their end, because a process must not run out of
@@ -38,9 +39,9 @@
 )
 
 // replyReader is the receiving side of a connection. It bounds what a call reads, and counts the
-// memory of its reply.
+// memory of its reply. It fails where a reply breaks the grammar of HTTP.
 type replyReader struct {
-	from   io.Reader
+	from   syntax.Reader
 	memory *quota.Bytes
 
 	// inBody is set while a body is read, which has a limit of its own.
