syntax: reject replies whose status line breaks the grammar

Callers got replies of a leaf as answers whose status line belongs to no HTTP/1.x: those of HTTP/0.9 and HTTP/2.0, and those with NUL or CR in the reason. Where a leaf answered with status 000, 001 or 099, callers got 502 although another leaf could have answered.

Cause: net/http takes any version, any three characters that make up a number, several blanks and any reason. Status 000 counted as the leaf's answer in the pool.

The status line is checked by RFC 9112, section 4: HTTP/1 and a digit, one blank, a status of 100 to 599 (RFC 9110, section 15), and a reason without control bytes.

TestBrokenStatusIsAskedAgain failed for 000, 001 and 099 with 502 and passes now.

--- a/share/junk/broken.go
+++ b/share/junk/broken.go
@@ -15,6 +15,14 @@
 		broken[name+", interim"] = "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + ok + headers + length + "\r\n" + CutBody
 		broken[name+", trailer"] = ok + headers + chunked + "Trailer: A, Field\r\n\r\n" + chunks + "A: b\r\n" + field + "\r\n\r\n"
 	}
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK",
+		"HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2e2 OK", "HTTP/1.1 2 0 OK", "HTTP/1.1  OK", "HTTP/1.1",
+		"HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", " HTTP/1.1 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK",
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/1.10 200 OK", "HTTP/1.x 200 OK", "http/1.1 200 OK", "", "200 OK",
+	} {
+		broken[fmt.Sprintf("status line %q", line)] = line + "\r\n" + headers + length + "\r\n" + CutBody
+	}
 	for _, fields := range []string{
 		"Content-Length: +16", "Content-Length: -16", "Content-Length: 1 6", "Content-Length: 0x10", "Content-Length: 16;", "Content-Length:",
 		"Content-Length: 99999999999999999999", "Content-Length: 16\r\nContent-Length: 8", "Content-Length: 16, 8",
@@ -74,6 +82,10 @@
 		"colons in a value":      ok + "Field: :v:w:\r\n" + end,
 		"text that isn't ASCII":  ok + "Field: f\xc3\xbcr\xff\r\n" + end,
 		"tab in a value":         ok + "Field: a\tb\r\n" + end,
+		"reason with a tab":      "HTTP/1.1 200 O\tK\xff\r\n" + end,
+		"long reason":            "HTTP/1.1 200 All is well: 1\r\n" + end,
+		"status 299":             "HTTP/1.1 299 Own\r\n" + end,
+		"status 520":             "HTTP/1.1 520 Own\r\n" + end,
 		"length twice":           ok + length + end,
 		"length with zeros":      ok + headers + "content-length: 016\r\n\r\n" + CutBody,
 		"encoding in capitals":   ok + headers + "TRANSFER-ENCODING: Chunked\r\n\r\n10\r\n" + CutBody + "\r\n0\r\n\r\n",
--- a/share/proxy/broken_test.go
+++ b/share/proxy/broken_test.go
@@ -56,3 +56,30 @@
 		}
 	}
 }
+
+// A leaf answers with a status that is none. Its caller must get the answer of another leaf, and
+// no failure in its place.
+func TestBrokenStatusIsAskedAgain(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			var broken atomic.Int64
+			text := &atomic.Value{}
+			text.Store("HTTP/1.1 " + status + " OK\r\nLeaf-Stamp: s\r\nContent-Length: 4\r\n\r\nbody")
+			r := newRig(t)
+			r.startLeaf("s0", func(w http.ResponseWriter, q *http.Request) {
+				broken.Add(1)
+				serveText(t, text)(w, q)
+			})
+			r.startLeaf("s0", func(w http.ResponseWriter, q *http.Request) { writeStampedReply(w, q, "sound") })
+			r.configure()
+			c := r.dial()
+			for n := 0; broken.Load() == 0; n++ {
+				c.send(get("/one/x", fmt.Sprintf("q%d", n)))
+				res := c.receive()
+				assert.Equal(t, res.StatusCode, http.StatusOK)
+				assert.Equal(t, res.Body, "sound")
+			}
+		})
+	}
+}
--- a/share/syntax/syntax.go
+++ b/share/syntax/syntax.go
@@ -200,15 +200,21 @@
 	return nil
 }
 
-// parseStatusLine notes what a status line says about the body.
+// parseStatusLine parses a status line (RFC 9112, section 4). Its last blank may be missing, as
+// with some servers that send no reason.
 func (h *head) parseStatusLine(line []byte) error {
-	version, rest, _ := bytes.Cut(line, []byte(" "))
-	code, _, _ := bytes.Cut(rest, []byte(" "))
-	status, err := strconv.Atoi(string(code))
-	if err != nil {
+	const version, sample = "HTTP/1.", "HTTP/1.1 200"
+	if len(line) < len(sample) || string(line[:len(version)]) != version || !isDigit(line[7]) || line[8] != ' ' {
+		return errStatusLine
+	}
+	code, reason := line[9:12], line[12:]
+	if code[0] < '1' || code[0] > '5' || !isDigit(code[1]) || !isDigit(code[2]) {
 		return errStatusLine
 	}
-	*h = head{status: status, http10: string(version) == "HTTP/1.0"}
+	if len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
+		return errStatusLine
+	}
+	*h = head{status: int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0'), http10: line[7] == '0'}
 	return nil
 }
 
@@ -279,4 +285,6 @@
 	return true
 }
 
-func isHex(b byte) bool { return b >= '0' && b <= '9' || b >= 'a' && b <= 'f' || b >= 'A' && b <= 'F' }
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+func isHex(b byte) bool { return isDigit(b) || b >= 'a' && b <= 'f' || b >= 'A' && b <= 'F' }
