fetch: reject replies that break the grammar

Hosts took for replies of the store, of other hosts and of leaves (aggregator) what is none by the grammar of HTTP: a blank within a name, which cut the name off (`Fie ld` became `Fie`), or before its colon, which was dropped, so that `Transfer-Encoding : chunked` counted; control bytes in values and trailers; statuses 600, 999, 0200 and 2000; `Content-Length: +16` and an empty one; chunks with a length beside them or in HTTP/1.0; folded lines.

Cause: as in httpc, a parser alone decided, here nbhttp's, which is lenient in other ways.

The bytes go through syntax.Checker before the library reads them. Bare line ends are not allowed here: nbhttp takes them for a part of the value, and would find other fields than the check. What precedes the broken line is still read, so that bytes after a whole reply don't take it away.

--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -90,8 +90,10 @@
 // loop's own connection has none.
 func (e *Engine) onData(c *nbio.Conn, data []byte) {
 	if limiter, ok := e.conns.Load(c); ok {
-		if err := limiter.(*replyLimiter).receive(data); err != nil {
-			_ = c.CloseWithError(err) // ends the call
+		parsable, err := limiter.(*replyLimiter).receive(data)
+		if err != nil {
+			c.DataHandler()(c, data[:parsable]) // may have a whole reply
+			_ = c.CloseWithError(err)           // ends the call
 			return
 		}
 	}
@@ -197,7 +199,7 @@
 		return false
 	}
 	var once sync.Once
-	c.limiter.begin()
+	c.limiter.begin(r.Method)
 	client.Do(r, func(res *http.Response, _ net.Conn, err error) {
 		once.Do(func() {
 			reply, err := c.readReply(res, err)
--- a/share/fetch/limiter.go
+++ b/share/fetch/limiter.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionstile/share/quota"
+	"dandelionstile/share/syntax"
 )
 
 // Errors of replies that are not read to their end.
@@ -28,14 +29,18 @@
 	maxWireBytes = MaxReplyBytes + MaxReplyBytes/4
 )
 
-// replyLimiter bounds what a connection receives, before the library parses it. The library
-// itself keeps a head without end in memory, and takes replies that nobody waits for.
+// replyLimiter bounds what a connection receives, and checks its grammar, before the library parses
+// it. The library itself keeps a head without end in memory, and takes replies that nobody waits
+// for.
 type replyLimiter struct {
 	memory *quota.Bytes
 
 	mu sync.Mutex
 	// calls is the number of calls that wait for their reply.
 	calls int
+	// method is that of the last call, and checker checks its reply.
+	method  string
+	checker syntax.Checker
 	// head is the size of the current reply's head so far, and matched how much of the
 	// blank line at its end has arrived.
 	head, matched int
@@ -47,11 +52,12 @@
 // headEnd is the end of a head.
 const headEnd = "\r\n\r\n"
 
-// begin records that a call waits for its reply.
-func (l *replyLimiter) begin() {
+// begin records that a call with the given method waits for its reply.
+func (l *replyLimiter) begin(method string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
+	l.method, l.checker = method, syntax.Checker{}
 	l.head, l.matched, l.body = 0, 0, 0
 }
 
@@ -64,26 +70,26 @@
 	l.held = 0
 }
 
-// receive records bytes that have arrived. After an error the connection must be closed and
-// the bytes not be parsed.
-func (l *replyLimiter) receive(data []byte) error {
+// receive records bytes that have arrived and returns how many of them may be parsed. After an
+// error the connection must be closed.
+func (l *replyLimiter) receive(data []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.calls == 0 {
-		return errUnsolicited
+		return 0, errUnsolicited
 	}
 	head := l.scanHead(data)
 	l.head += head
 	l.body += len(data) - head
 	if l.head > maxHeadBytes || l.body > maxWireBytes {
-		return ErrTooLarge
+		return 0, ErrTooLarge
 	}
 	cost := quota.HeadCost(data[:head]) + int64(len(data)-head)
 	if !l.memory.Grow(l.held, cost) {
-		return ErrNoMemory
+		return 0, ErrNoMemory
 	}
 	l.held += cost
-	return nil
+	return l.checker.Check(data, l.method)
 }
 
 // scanHead returns how many bytes of data belong to the head.
