--- a/share/httpc/broken_test.go
+++ b/share/httpc/broken_test.go
@@ -68,3 +68,18 @@
 		assert.Check(t, !(<-probed).Healthy, "%s", name)
 	}
 }
+
+// A leaf sends bytes after its reply, which belong to no request. The reply must count, and the
+// connection must not be used again.
+func TestReplyBeforeBrokenOneCounts(t *testing.T) {
+	l := serve(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(t, r)
+		_, _ = io.WriteString(c, junk.Whole("Leaf-Stamp: s\r\n")["length"]+"HTTP/1.1 200 OK\r\nFie ld: value\r\n")
+		_, _ = r.ReadByte() // until the caller closes
+	})
+	c := newCaller(t)
+	for n := range 2 {
+		assert.Equal(t, c.ask(l, "x").Kind, call.Answered)
+		assert.Equal(t, l.conns(), n+1)
+	}
+}
