--- a/soak/runner/check.go
+++ b/soak/runner/check.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionstile/platform/fake"
+	"dandelionstile/share/syntax"
 )
 
 // results collects the requests of a run and the guarantees that it violated.
@@ -322,7 +323,10 @@
 	if _, err := io.WriteString(conn, fake.RequestText(hostHeader, path, id, time.Second)); err != nil {
 		return 0
 	}
-	got, err := readReply(bufio.NewReader(conn))
+	got, err := readReply(newReplyReader(conn))
+	if errors.Is(err, syntax.ErrGrammar) {
+		c.testbed.results.addViolation("MIXED: the answer to %s: %s", id, err)
+	}
 	if err != nil {
 		return 0
 	}
--- a/soak/runner/client.go
+++ b/soak/runner/client.go
@@ -11,7 +11,10 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dandelionstile/platform/fake"
+	"dandelionstile/share/syntax"
 	"dandelionstile/share/topk"
 )
 
@@ -151,6 +154,9 @@
 		got, err = readReply(c.in)
 	}
 	r.ended = time.Now()
+	if errors.Is(err, syntax.ErrGrammar) {
+		c.testbed.results.addViolation("MIXED: the answer to %s: %s", r.id, err)
+	}
 	if err != nil {
 		c.disconnect()
 		return r
@@ -176,6 +182,12 @@
 	closes bool
 }
 
+// newReplyReader returns a reader for readReply, which fails on what is no reply by the grammar of
+// HTTP.
+func newReplyReader(conn net.Conn) *bufio.Reader {
+	return bufio.NewReader(&syntax.Reader{From: conn})
+}
+
 func readReply(in *bufio.Reader) (reply, error) {
 	res, err := http.ReadResponse(in, nil)
 	if err != nil {
@@ -203,7 +215,7 @@
 		time.Sleep(20 * time.Millisecond)
 		return false
 	}
-	c.host, c.conn, c.in = h, conn, bufio.NewReader(conn)
+	c.host, c.conn, c.in = h, conn, newReplyReader(conn)
 	return true
 }
 
