--- a/share/proxy/server_test.go
+++ b/share/proxy/server_test.go
@@ -308,6 +308,19 @@
 	<-left
 }
 
+// haveBegun returns for how many callers the control loop has a request.
+func (c *callers) haveBegun() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := 0
+	for _, w := range c.waiting {
+		if w.begun {
+			begun++
+		}
+	}
+	return begun
+}
+
 // A process ends while a request is in flight. Its caller must get a final answer that
 // leaves open whether the request ran, and not a closed connection.
 func TestCloseAnswersRequestsInFlight(t *testing.T) {
@@ -317,12 +330,11 @@
 	c := r.dial()
 	c.send(get("/one/x", "q1"))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if r.server.inFlight.Load() == 1 {
+		if r.server.callers.haveBegun() == 1 {
 			return poll.Success()
 		}
-		return poll.Continue("the request has not arrived")
+		return poll.Continue("the control loop does not have the request")
 	})
-	time.Sleep(20 * time.Millisecond) // until the caller waits for its answer
 	go r.close()
 	res := c.receive()
 	assert.Equal(t, res.StatusCode, http.StatusBadGateway)
