--- a/share/httpc/dialect.go
+++ b/share/httpc/dialect.go
@@ -4,7 +4,8 @@
 // It parses replies with net/http rather than nbhttp. A leaf may end a reply by
 // closing the connection, truncate it, reply before it has read the body, or send
 // bytes outside any reply. The package must distinguish these cases, and keep
-// control of the connection.
+// control of the connection. Package syntax checks the bytes before net/http parses
+// them, which is lenient.
 package httpc
 
 // Dialect holds the names of the headers between the hosts and the leaves.
