--- a/share/fetch/fetch.go
+++ b/share/fetch/fetch.go
@@ -89,15 +89,16 @@
 // onData passes what a connection has received to the library, within its limits. An event
 // loop's own connection has none.
 func (e *Engine) onData(c *nbio.Conn, data []byte) {
-	if limiter, ok := e.conns.Load(c); ok {
-		parsable, err := limiter.(*replyLimiter).receive(data)
-		if err != nil {
-			c.DataHandler()(c, data[:parsable]) // may have a whole reply
-			_ = c.CloseWithError(err)           // ends the call
-			return
-		}
+	limiter, ok := e.conns.Load(c)
+	if !ok {
+		c.DataHandler()(c, data)
+		return
+	}
+	parsable, err := limiter.(*replyLimiter).receive(data)
+	c.DataHandler()(c, data[:parsable]) // may end with a whole reply also after an error
+	if err != nil {
+		_ = c.CloseWithError(err) // ends the call
 	}
-	c.DataHandler()(c, data)
 }
 
 // Close closes all connections and waits for the event loops. Calls in flight end with
--- a/share/httpc/fuzz_test.go
+++ b/share/httpc/fuzz_test.go
@@ -16,7 +16,7 @@
 func isNotPrintable(r rune) bool { return r <= ' ' || r >= 0x7f }
 
 // A leaf may reply with any bytes. They must end the call, and must not pass as a success
-// without a stamp or with another request's ID, nor with fields that can't be passed on.
+// without a stamp or with another request's ID, nor with fields that can't be forwarded.
 func FuzzReply(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nLeaf-Stamp: s\r\nContent-Length: 2\r\n\r\nab"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nLeaf-Stamp: s\r\n\r\nHTTP/1.1 200 OK\r\n"))
--- a/share/syntax/syntax.go
+++ b/share/syntax/syntax.go
@@ -2,7 +2,7 @@
 // (RFC 9112) and of its fields (RFC 9110).
 //
 // The parsers that read replies are lenient, each in its own way, and take some malformed heads
-// for others. What they accept is passed on to callers, so it is checked before they read it.
+// for others. What they accept is forwarded to callers, so it is checked before they read it.
 package syntax
 
 import (
