--- /dev/null
+++ b/review/second/topk.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// topK: the operator changes how many records a route's answers hold, while queries run.
+func topK(folder string) (int, error) {
+	w, err := newWorld(folder, threeZones)
+	if err != nil {
+		return 2, err
+	}
+	defer w.close()
+	var shards []string
+	var services []map[string]any
+	for i := range 20 {
+		name := fmt.Sprintf("shard-%02d", i)
+		shards = append(shards, name)
+		services = append(services, service(name, 0))
+		for j := range 2 {
+			l := &leaf{id: fmt.Sprintf("i-%s-%d", name, j), service: name, zone: []string{"z2", "z3"}[i/10], slots: 3, work: 10 * time.Millisecond}
+			if err := w.addLeaf(l); err != nil {
+				return 2, err
+			}
+		}
+	}
+	tops := []int{20, 5}
+	put := func(version int) error {
+		return w.putConfig(version, []route{shardedRoute("browse", shards, 200, 2000, tops[version%2], 0.89)}, services...)
+	}
+	if err := put(2); err != nil {
+		return 2, err
+	}
+	if err := w.startHosts("z1", "z2", "z3", "z1"); err != nil {
+		return 2, err
+	}
+	go func() {
+		version := 2
+		for range 3 {
+			time.Sleep(3 * time.Second)
+			for range 12 { // a change each 0.33 s for 4 s
+				if version++; w.trouble {
+					_ = put(version)
+				}
+				time.Sleep(330 * time.Millisecond)
+			}
+		}
+	}()
+	w.load(90, time.Now().Add(22*time.Second), func(i int) { w.send(i%4, "GET", fmt.Sprintf("/browse/%d", i), "", 2*time.Second) })
+	wrong, served := 0, 0
+	for _, s := range w.sent {
+		if s.status != 200 {
+			continue
+		}
+		served++
+		if !w.greatest(s, tops) {
+			w.record("wrong answer for %s", s.id)
+			wrong++
+		}
+	}
+	return w.verdict(wrong > 0, "MIXED: %d of %d successes have a body that isn't the greatest top_k records of their parts, by any version's top_k", wrong, served), nil
+}
